--- a/elmglade/net/client.py
+++ b/elmglade/net/client.py
@@ -1,6 +1,7 @@
 """Calls to receivers: a pool of kept connections for each endpoint, and what came back as an Outcome."""
 
 import asyncio
+import logging
 import math
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -15,6 +16,8 @@
 BODY_PATIENCE = 0.5  # s for the rest of an answer whose head has come; the body means nothing
 LONGEST_WAIT = 3600.0  # s: no message lives so long; a longer told wait would only keep its breaker for ever
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -120,6 +123,9 @@
                 return Answer(Outcome.OK, finished=True)
             return Answer(Outcome.SPOILT, wait=wait)
         except BROKEN:
+            if connection and kept_one:
+                idle = loop.time() - connection.idle_since
+                log.warning("a kept connection to %s broke %.3f s after its last use", endpoint, idle)
             if kept_one:  # it had been given up over there, unseen here, and so may have been the others
                 self.close_idle(endpoint)
                 return Answer(Outcome.STALE if written else Outcome.NOT_SENT, wait=wait)
--- a/elmglade/net/discovery.py
+++ b/elmglade/net/discovery.py
@@ -22,6 +22,7 @@
 MOVE_PAUSE = (
     0.2  # s between tries to hear a new address's list: what it tells counts as told 4 s after SIGHUP
 )
+LOGGED = 32  # endpoints of a list that its log line names; lists are bounded by LINE_LIMIT alone
 UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, ArithmeticError, RecursionError)
 
 log = logging.getLogger(__name__)
@@ -77,6 +78,7 @@
         """One watch, to its end. However it ends, the module is told and decides when to ask again; but the
         first list of a new address is asked for until it comes: nobody else tells of a drain meanwhile."""
         address = self.address
+        log.info("a watch begins at %s:%d after %s", *address, self.seq)
         while True:
             try:
                 await self.watch_once(address)
@@ -150,6 +152,8 @@
         if address in (None, self.address):  # else it is a line of the address before
             self.seq = told.seq
         self.heard = True
+        named = (f"{each.id} {each.state.value} at {each.destination}" for each in told.endpoints[:LOGGED])
+        log.info("list %d, %s: %s", told.seq, "whole" if told.whole else "changes", ", ".join(named))
         listing = face.Listing.FULL if told.whole else face.Listing.CHANGES
         self.listed(face.EndpointsListed(listing, told.endpoints))
 
--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -7,6 +7,7 @@
 import logging
 import signal
 import time
+from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, replace
 from functools import partial
@@ -26,6 +27,7 @@
 STOP_LISTENING = 0.6  # s after SIGTERM; the front deals out new connections for up to 0.4 s more
 STOP = 3.3  # s after SIGTERM: the process ends, well before SIGKILL may come at 3.7 s
 SWEEP = 0.25  # s between looks at connections that stand unused; what clients are owed within 3 s goes by it
+REPORT = 5.0  # s between the lines that tell on-call staff what the sender holds and what its calls came to
 TIMER_SLACK = (
     0.0005  # s: a timer must not run before its time on the module's clock, which then sets no other
 )
@@ -113,6 +115,7 @@
         self.watching: asyncio.Task[None] | None = None
         self.wake: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
+        self.counts: Counter[str] = Counter()  # since the last report: what calls and messages came to
         self.turning = self.over = False
         self.stopped: asyncio.Future[int] = self.loop.create_future()
 
@@ -132,6 +135,7 @@
         self.turn()
         self.spawn(self.discovery.tell())
         self.spawn(self.sweep())
+        self.spawn(self.report())
         self.server.listen(*self.config.listen)
         self.server.ready = not self.server.stopping
         host, port = self.server.address()
@@ -217,6 +221,28 @@
             self.server.expire()
             self.client.drop_old()
 
+    async def report(self) -> None:
+        while True:
+            await asyncio.sleep(REPORT)
+            counts, self.counts = self.counts, Counter()
+            log.info(
+                "%s: holds %d of %d, %d owed, %d notices unanswered; calls out %d of %d; connections %d out, "
+                "%d idle, %d in; list at %s, %d endpoints; since the last report: %s",
+                self.config.name,
+                len(self.dispatcher.messages),
+                self.settings.max_open,
+                len(self.journal.entries),
+                len(self.discovery.notices),
+                len(self.calls),
+                self.settings.slots,
+                len(self.client.open),
+                len(self.client.idle),
+                len(self.server.connections),
+                self.discovery.seq,
+                len(self.dispatcher.endpoints),
+                ", ".join(f"{name} {count}" for name, count in sorted(counts.items())) or "nothing",
+            )
+
     # What happened. The events of one loop turn go to the module together: they share one core.
 
     def post(self, event: face.Event) -> None:
@@ -246,6 +272,7 @@
             log.warning("the id %s is another message's", message.id)
             connection.answer(503, self.dispatcher.come_again(), "this id is another message's")
         elif len(self.dispatcher.messages) + len(self.arrived) >= self.settings.max_open:
+            self.counts["turned away"] += 1
             connection.answer(503, self.dispatcher.come_again())
         else:
             self.arrived[message.id] = message, connection
@@ -287,6 +314,7 @@
             return
         else:
             answer = task.result()
+        self.counts[answer.outcome.value] += 1
         if name in self.journal.entries:
             self.journal.outcome(name, number, answer.outcome)
             if answer.finished:
@@ -315,6 +343,7 @@
                 self.refuse(refused[name], connection)
                 untaken.add(name)
             elif self.journal.taken(message):
+                self.counts["taken on"] += 1
                 connection.answer(202)
             else:
                 connection.answer(503, self.dispatcher.come_again())
@@ -336,8 +365,10 @@
             case face.Refuse(name) | face.Fail(name) if name in untaken:
                 pass  # answered to its client
             case face.Refuse(name, retry_after):
+                self.counts["returned"] += 1
                 self.discovery.notify(name, "returned", retry_after)
             case face.Fail(name):
+                self.counts["given up"] += 1
                 self.discovery.notify(name, "failed")
             case face.CancelAttempt(name, number):
                 if task := self.calls.get((name, number)):
