Ask discovery for the list though the settings say that it is pushed

The real sender took membership_mode 'pushed', which speaks of the simulator, for itself and never opened a watch. It knew only its configuration's list until it restarted.

Ruled out: a silent watch (the new log line shows that none was opened) and the move at SIGHUP, which tells the new address's list at once when there is a watch to move.

--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -35,7 +36,8 @@
             disk_bytes=int(limits["disk_mb"] * MEGABYTE),
             sockets=int(limits["sockets"]),
             known=Listed(told["known"]),
-            settings=settings_from(told["settings"], ends_answered=True),
+            # On sockets a list is heard only by asking for it, whatever the simulator does at this site.
+            settings=replace(settings_from(told["settings"], ends_answered=True), must_ask=True),
         )
     except KeyError as error:
         raise BadConfig(f"{error.args[0]} is missing or unknown") from None
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -132,7 +132,7 @@
 
 
 def config_json(platform: Platform, *hosts: dict[str, Any], **kind: object) -> dict[str, Any]:
-    settings = ENV | {"services": [CLASS | kind], "membership_mode": "on_request"}
+    settings = ENV | {"services": [CLASS | kind]}
     settings["safety"] = ENV["safety"] | {"key_quiet": 1000}
     return {
         "name": "n0",
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -185,6 +185,13 @@
         assert world.receiver.requests.empty()
 
 
+@play
+async def test_the_list_is_asked_for_though_the_simulator_pushes_it(state: Path) -> None:
+    async with World(state) as world:
+        assert world.told["settings"]["membership_mode"] == "pushed"
+        assert (await soon(world.platform.watches.get())).target.endswith("watch=1&after=41")
+
+
 @play
 async def test_the_watch_is_taken_up_again(state: Path) -> None:
     async with World(state) as world:
