Send once-only messages on no kept connection that is likely to break

Kept connections of any age served every call. Where endpoints close them early, a licence order on one may have run and had to be failed. The client now counts breaks by how long a connection had stood idle, and gives what may go only once a new connection where kept ones break clearly more often than new ones do.

Ruled out: the idle limit (none stood so long), closes that could be seen, a limit on calls a connection, single endpoints.

--- a/elmglade/net/client.py
+++ b/elmglade/net/client.py
@@ -11,6 +11,7 @@
 from elmglade.interface import NEVER_RAN, Outcome
 from elmglade.net.http import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
 from elmglade.net.message import HandedIn
+from elmglade.net.reuse import Reuse
 
 IDLE_SHARE = 0.8  # of the receiver's idle limit: a kept connection is dropped that much earlier
 BODY_PATIENCE = 0.5  # s for the rest of an answer whose head has come; the body means nothing
@@ -66,14 +67,23 @@
         self.idle: dict[Connection, str] = {}  # the same, the one idle for longest first
         self.open: set[Connection] = set()
         self.connecting = 0
+        self.reuse = Reuse()
         self.draining: set[asyncio.Task[None]] = set()
 
     async def call(
-        self, endpoint: str, message: HandedIn, timeout: float, may_go: Callable[[], bool]
+        self,
+        endpoint: str,
+        message: HandedIn,
+        timeout: float,
+        may_go: Callable[[], bool],
+        once: bool = False,
     ) -> Answer:
-        """One call, with a fate known for sure: broken before its last byte is written it never ran."""
+        """One call, with a fate known for sure: broken before its last byte is written it never ran. One
+        that may have run is the end of a message that may take effect only `once`: it goes on no connection
+        that is likely to break."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
+        idle: float | None = None
         connection: Connection | None = None
         kept_one: Connection | None = None
         written = kept = given_up = False
@@ -82,7 +92,8 @@
             async with asyncio.timeout_at(deadline):
                 if (address := self.dials().get(endpoint)) is None:
                     return Answer(Outcome.NOT_SENT)  # gone since the module chose it
-                connection = kept_one = self.take_idle(endpoint)
+                connection = kept_one = self.take_idle(endpoint, once)
+                idle = loop.time() - connection.idle_since if connection else None
                 connection = connection or await self.connect(address)
                 if not may_go():
                     kept = self.keep(endpoint, connection)
@@ -96,6 +107,7 @@
                 await connection.send("POST", "/hook", headers, message.body)
                 written = True
                 response = await connection.response()
+                self.reuse.count(idle, broke=False)
                 if loop.time() >= deadline:
                     raise TimeoutError  # the loop was late: whether this still was a delivery is not known
                 answer = answer_from(response)
@@ -123,9 +135,10 @@
                 return Answer(Outcome.OK, finished=True)
             return Answer(Outcome.SPOILT, wait=wait)
         except BROKEN:
-            if connection and kept_one:
-                idle = loop.time() - connection.idle_since
-                log.warning("a kept connection to %s broke %.3f s after its last use", endpoint, idle)
+            if written:
+                self.reuse.count(idle, broke=True)
+            if idle is not None:
+                log.warning("a connection to %s broke after standing idle for %.3f s", endpoint, idle)
             if kept_one:  # it had been given up over there, unseen here, and so may have been the others
                 self.close_idle(endpoint)
                 return Answer(Outcome.STALE if written else Outcome.NOT_SENT, wait=wait)
@@ -179,10 +192,14 @@
 
     # The pool.
 
-    def take_idle(self, endpoint: str) -> Connection | None:
-        """The connection used last. Guards against one that the receiver closes as the request goes."""
+    def take_idle(self, endpoint: str, once: bool = False) -> Connection | None:
+        """The connection used last. Guards against one that the receiver closes as the request goes; what
+        may go again takes that risk and shows how large it is."""
+        now = asyncio.get_running_loop().time()
         while kept := self.pool.get(endpoint):
             connection = kept[-1]
+            if once and self.reuse.risky(now - connection.idle_since):
+                return None
             self.leave_pool(connection)
             if not connection.ended() and not self.too_old(connection):
                 return connection
--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -98,6 +98,7 @@
         self.dispatcher = Dispatcher(config.settings, config.seed)
         self.journal = Journal(config.state, config.disk_bytes)
         classes = {each.name: each for each in config.settings.classes}
+        self.once = {name for name, each in classes.items() if each.effect is face.Effect.UNSAFE}
         share = Descriptors.of(config.sockets, config.settings.slots)
         self.server = Server(classes, self.take, self.now, share.clients, share.lingering, self.is_named)
         self.discovery = Discovery(config.discovery, config.known, self.list_told, self.end_answered)
@@ -131,6 +132,7 @@
         for entry in self.journal.entries.values():
             self.discovery.destinations.add(entry.message.destination)
             self.post(self.restored(entry))
+        log.info("%s: settings %s", self.config.name, self.settings)
         log.info("%s: %d messages taken over from the journal", self.config.name, len(self.journal.entries))
         self.turn()
         self.spawn(self.discovery.tell())
@@ -393,11 +395,13 @@
         if untaken or not self.journal.sent(name, number, Attempt(self.now(), endpoint, zone)):
             self.post(face.AttemptEnded(name, number, Outcome.NOT_SENT, finished=untaken))
             return
+        message = self.journal.entries[name].message
         call = self.client.call(
             endpoint,
-            self.journal.entries[name].message,
+            message,
             action.timeout / 1e6,
             lambda: self.dispatcher.may_still_go(endpoint, self.now()),
+            message.message_class in self.once,
         )
         task = self.calls[name, number] = self.loop.create_task(call)
         task.add_done_callback(partial(self.call_ended, name, number))
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -16,6 +16,7 @@
 from elmglade.net import http
 from elmglade.net.client import Answer, Client, answer_from
 from elmglade.net.http import Address, Connection
+from elmglade.net.reuse import Reuse
 
 ANSWERS = [
     ("200", (), Answer(Outcome.OK, finished=True)),
@@ -392,6 +393,43 @@
         assert (await soon(again)).outcome is Outcome.RESET and receiver.accepted == 3
 
 
+def test_idle_times_at_which_connections_break_are_risky_once_they_are_known() -> None:
+    reuse = Reuse()
+    assert not reuse.risky(0.3)
+    reuse.count(0.3, broke=True)
+    assert not reuse.risky(0.3)  # one break proves nothing
+    for n in range(40):
+        reuse.count(0.3, broke=n % 5 == 0)
+        for idle in (None, 0.02, 5.0):
+            reuse.count(idle, broke=n % 25 == 0)
+    assert reuse.risky(0.3) and not reuse.risky(0.02) and not reuse.risky(5.0)
+    for n in range(40):
+        reuse.count(None, broke=n % 5 == 0)
+    assert not reuse.risky(0.3)  # a new connection is no safer
+    for _ in range(1000):
+        reuse.count(0.3, broke=False)
+        reuse.count(None, broke=False)
+    assert not reuse.risky(0.3)  # what has passed is forgotten
+
+
+@play
+async def test_what_may_go_only_once_takes_no_connection_that_is_likely_to_break(_: Path) -> None:
+    async with client_and_receiver() as (client, receiver):
+        going = call(client, receiver.address)
+        (await receiver.next()).answer(200)
+        await soon(going)
+        client.pool["r"][0].idle_since -= 0.3
+        for _n in range(40):
+            client.reuse.count(0.3, broke=True)
+            client.reuse.count(None, broke=False)
+        for once, accepted in ((True, 2), (False, 2)):
+            going = asyncio.create_task(client.call("r", handed_in(), 10, lambda: True, once))
+            (await receiver.next()).answer(200)
+            assert (await soon(going)).outcome is Outcome.OK and receiver.accepted == accepted
+            while len(client.pool["r"]) > 1:  # what the first has left; the one set back is still there
+                client.close_one(client.pool["r"][-1])
+
+
 @play
 async def test_a_told_wait_is_heard_before_the_rest_of_its_answer(_: Path) -> None:
     async with client_and_receiver() as (client, receiver):
