--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -74,8 +74,9 @@
 class Breaker:
     """The paper's breaker, with the gap, told waits and the warm-up after an outage."""
 
-    def __init__(self, settings: face.Settings, chance: random.Random) -> None:
-        self.settings, self.chance = settings, chance
+    def __init__(self, settings: face.Settings, chance: random.Random, name: str = "") -> None:
+        self.settings, self.chance, self.name = settings, chance, name
+        self.opened: int | None = None  # since when it has been open, for the notes alone
         self.failures, self.trial_at, self.trial = 0, -NEVER, None
         self.crowd = max(settings.fleet_size / GAP_SENDERS, 1)
         self.most_gap = RESET_TIMEOUT * self.crowd
@@ -263,6 +264,16 @@
     def count_failure(self, breaker: Breaker, outcome: Outcome) -> None:
         weight = ERROR_WEIGHT if outcome in ANSWERED else 1
         breaker.failed(self.now, weight, max(FAILURE_THRESHOLD / breaker.crowd, 2))
+        self.note_state(breaker, outcome.value)
+
+    def note_state(self, breaker: Breaker, why: str) -> None:
+        """Tells on-call staff of each breaker that opens or closes; it decides nothing."""
+        is_open = breaker.failures >= FAILURE_THRESHOLD
+        if is_open == (breaker.opened is not None):
+            return
+        state = "opens" if is_open else f"closes after {(self.now - breaker.opened) / 1e6:.1f} s"
+        breaker.opened = self.now if is_open else None
+        self.actions.append(face.Note(f"destination {breaker.name} {state}: {why}, {breaker.out} calls out"))
 
     def within_share(self, tenant: str) -> float:
         passed = (self.now - self.credited) / 1e6
@@ -326,6 +337,7 @@
         call.settled = True
         if ended.outcome is Outcome.OK:
             breaker.served(self.now, call)
+            self.note_state(breaker, "served")
             endpoint.bad_until = 0.0
         elif ended.outcome is Outcome.FULL:
             breaker.refused(self.now, call)
@@ -368,6 +380,7 @@
             if self.now >= call.breaker.overdue_at(call):
                 call.overdue = True
                 call.breaker.failed(self.now)
+                self.note_state(call.breaker, f"overdue after {call.breaker.patience() / 1e6:.2f} s")
                 call.endpoint.bad_until = self.now + RESET_TIMEOUT
         short = len(self.out) >= self.settings.slots
         stuck = [each for each in self.out if each.overdue and not each.called_off]
@@ -476,7 +489,7 @@
         listed = endpoint.listed
         key = (listed.destination, listed.id if self.kinds[listed.kind].apart else "")
         if key not in self.breakers:
-            self.breakers[key] = Breaker(self.settings, self.random)
+            self.breakers[key] = Breaker(self.settings, self.random, f"{key[0]} {key[1]}".rstrip())
         return self.breakers[key]
 
     def ready_at(self, destination: int) -> float:
