Take a warm-up back that a burst of broken calls began at a healthy destination

Connections that break together made three unserved calls in a row, which restarted the 13 s warm-up of a destination that another call out all the while had found healthy. A warm-up begun by calls that fit between two served ones less than a reset timeout apart is now taken back, unless errors are among them. The status line tells what keeps the fullest destinations back; it is what showed the cause.

Ruled out: slots (a third in use), told waits, the refusal gap, breakers left open.

--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -28,6 +28,7 @@
 STOP = 3.3  # s after SIGTERM: the process ends, well before SIGKILL may come at 3.7 s
 SWEEP = 0.25  # s between looks at connections that stand unused; what clients are owed within 3 s goes by it
 REPORT = 5.0  # s between the lines that tell on-call staff what the sender holds and what its calls came to
+HELD_LOGGED = 3  # destinations in that line
 TIMER_SLACK = (
     0.0005  # s: a timer must not run before its time on the module's clock, which then sets no other
 )
@@ -229,7 +230,7 @@
             counts, self.counts = self.counts, Counter()
             log.info(
                 "%s: holds %d of %d, %d owed, %d notices unanswered; calls out %d of %d; connections %d out, "
-                "%d idle, %d in; list at %s, %d endpoints; since the last report: %s",
+                "%d idle, %d in; list at %s, %d endpoints; since the last report: %s; held most at %s",
                 self.config.name,
                 len(self.dispatcher.messages),
                 self.settings.max_open,
@@ -243,6 +244,7 @@
                 self.discovery.seq,
                 len(self.dispatcher.endpoints),
                 ", ".join(f"{name} {count}" for name, count in sorted(counts.items())) or "nothing",
+                "; ".join(self.dispatcher.most_held(HELD_LOGGED)) or "none",
             )
 
     # What happened. The events of one loop turn go to the module together: they share one core.
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -83,6 +83,7 @@
         self.step, self.gap, self.gap_changed = GAP_STEP * self.crowd, 0.0, -NEVER
         self.out, self.last_sent, self.wait_until = 0, -NEVER, 0
         self.unserved, self.sick, self.cold_since = 0, 0.0, -NEVER  # unserved: calls since the last served
+        self.cold_before, self.run_errors = -NEVER, False  # cold_since before them; errors among them
         self.served_sent = -NEVER  # sending of the newest call that was served
         self.least_aim = min(each.aim for each in settings.classes)
         self.took, self.spread, self.known = self.least_aim / 4, self.least_aim / 8, 1
@@ -101,6 +102,16 @@
             return NEVER if self.trial else max(self.wait_until, self.trial_at)
         return max(self.wait_until, self.last_sent + max(self.gap, self.cold_gap(now)))
 
+    def state(self, now: int) -> str:
+        told = {
+            "gap": max(self.gap, 0.0),
+            "cold gap": self.cold_gap(now),
+            "told wait": max(self.wait_until - now, 0),
+            "next call in": max(self.ready_at(now) - now, 0),
+        }
+        parts = [f"{name} {value / 1e6:.2f} s" for name, value in told.items() if value]
+        return ", ".join([f"(failures {self.failures:.1f}", f"out {self.out}", *parts]) + ")"
+
     def restart(self, now: int) -> None:
         """Guards a destination that is down from a crowd: a failed trial waits out the gap of a cold one."""
         timeout: float = RESET_TIMEOUT
@@ -125,11 +136,13 @@
         """How long a call may take before it is overdue."""
         return max(self.took + OVERDUE_SPREADS * self.spread, self.least_aim / 4)
 
-    def failed(self, now: int, weight: float = 1, run: float = FAILURE_THRESHOLD) -> None:
+    def failed(
+        self, now: int, weight: float = 1, run: float = FAILURE_THRESHOLD, error: bool = False
+    ) -> None:
         self.failures += weight
         self.restart(now)
         self.sick += (1 - self.sick) * MEMORY
-        self.doubt(now, run)
+        self.doubt(now, run, error)
 
     def refused(self, now: int, call: Call) -> None:
         if call is self.trial:
@@ -140,13 +153,23 @@
             late = self.chance.uniform(0, 2 * self.gap) * (1 - 1 / self.crowd)  # told alike, back apart
             self.wait_until = max(self.wait_until, now) + math.ceil(late)
 
-    def doubt(self, now: int, run: float) -> None:
+    def doubt(self, now: int, run: float, error: bool = False) -> None:
         """What may be an outage restarts the warm-up: a run of unserved calls, or many failures of late."""
+        if not self.unserved:
+            self.cold_before, self.run_errors = self.cold_since, False
         self.unserved += 1
+        self.run_errors |= error
         if self.unserved >= run or self.sick >= SICK_SHARE:
             self.cold_since = now
 
+    def was_up(self, now: int) -> bool:
+        """Whether the calls not served since the last one that was fit into no outage: those last far longer
+        than the reset timeout. Errors prove nothing: what fails most calls serves some all the while."""
+        return 0 <= now - self.last_served < RESET_TIMEOUT and not self.run_errors
+
     def served(self, now: int, call: Call) -> None:
+        if self.unserved and self.was_up(now):
+            self.cold_since = self.cold_before
         took = now - call.sent
         self.served_sent = max(self.served_sent, call.sent)
         self.known += 1
@@ -263,7 +286,8 @@
 
     def count_failure(self, breaker: Breaker, outcome: Outcome) -> None:
         weight = ERROR_WEIGHT if outcome in ANSWERED else 1
-        breaker.failed(self.now, weight, max(FAILURE_THRESHOLD / breaker.crowd, 2))
+        run = max(FAILURE_THRESHOLD / breaker.crowd, 2)
+        breaker.failed(self.now, weight, run, error=outcome is Outcome.ERROR)
         self.note_state(breaker, outcome.value)
 
     def note_state(self, breaker: Breaker, why: str) -> None:
@@ -485,6 +509,15 @@
         for _, _, message in heapq.nsmallest(excess, held, key=lambda each: each[0]):
             self.end(message)
 
+    def most_held(self, count: int) -> list[str]:
+        """For the status line: the destinations that hold most, and what keeps their next call back."""
+        held = heapq.nlargest(count, ((len(line), name) for name, line in self.waiting.items() if line))
+        return [
+            f"{name}: {size} {each.state(self.now)}"
+            for size, name in held
+            for each in self.breakers_at.get(name, ())
+        ]
+
     def breaker_of(self, endpoint: Endpoint) -> Breaker:
         listed = endpoint.listed
         key = (listed.destination, listed.id if self.kinds[listed.kind].apart else "")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -141,6 +141,29 @@
     assert calls - before <= 10, "about twenty usual calls would fit here; a cold destination takes a part"
 
 
+@pytest.mark.parametrize(
+    "outcome, paced", [(Outcome.RESET, False), (Outcome.SPOILT, False), (Outcome.ERROR, True)]
+)
+def test_a_burst_of_broken_calls_is_no_outage_where_another_call_is_served(
+    outcome: Outcome, paced: bool
+) -> None:
+    world = World()
+    for _ in range(40):
+        world.take(after=90 * MS)
+        world.answer(f"m{world.count}", Outcome.OK)
+    slow, *broken = [name for _ in range(10) for name in sent(world.take("once"))]
+    for name in broken:
+        world.answer(name, outcome, after=0)
+    world.answer(slow, Outcome.OK)
+    calls = 0
+    for _ in range(20):
+        went = sent(world.take("once", after=100 * MS))
+        calls += len(went)
+        for name in went:
+            world.answer(name, Outcome.OK)
+    assert (calls <= 10) == paced, "twenty usual calls would fit here"
+
+
 def restored(
     message: str, attempts: int = 1, risky_since: int | None = 0, **changes: object
 ) -> face.MessageRestored:
