Check the whole list every 2 s: a watch may live and tell nothing

A watch that sent empty lines but no changes, or bytes that make no line, was trusted for ever; an answer had 4 s to begin, which after SIGHUP is all the time there is. What discovery holds counts as told after 6 s (4 s after SIGHUP). Found by reading; no recording shows it.

--- a/elmglade/net/discovery.py
+++ b/elmglade/net/discovery.py
@@ -12,7 +12,10 @@
 from elmglade import interface as face
 from elmglade.net.http import BROKEN, Address, Connection, address_from
 
-SILENCE = 4.0  # s with no line, empty ones come every 2 s: the watch is dead, though TCP says nothing
+# What discovery holds counts as told 6 s later, and 4 s after SIGHUP, whether it has arrived or not:
+SILENCE = 3.0  # s with no line, empty ones come every 2 s: the watch is dead, though TCP says nothing
+ANSWER_TIMEOUT = 1.0  # s for the head of an answer, or a whole list; it answers at once or not at all
+CHECK = 2.0  # s between looks at the whole list, which show a watch that lives but tells nothing
 CONNECT_TIMEOUT = 1.0
 LINE_LIMIT = 4 * 1024 * 1024
 NOTICE_TIMEOUT = 0.1  # s for a first try, answers took 4 ms at most: a hung kept connection must leave time
@@ -108,7 +111,7 @@
                     async with asyncio.timeout(CONNECT_TIMEOUT):
                         connection = await Connection.open(address)
             await connection.send("GET", f"/registry/instances?watch=1&after={self.seq}", {})
-            async with asyncio.timeout(SILENCE):
+            async with asyncio.timeout(ANSWER_TIMEOUT):
                 await expect_ok(connection)
             await self.read_lines(connection, address)
         finally:
@@ -117,7 +120,7 @@
     async def ask(self, connection: Connection, target: str) -> bytes:
         await connection.send("GET", target, {})
         body = bytearray()
-        async with asyncio.timeout(SILENCE):
+        async with asyncio.timeout(ANSWER_TIMEOUT):
             await expect_ok(connection)
             while not isinstance(event := await connection.next_event(), h11.EndOfMessage):
                 body += event.data if isinstance(event, h11.Data) else b""
@@ -128,20 +131,52 @@
     async def read_lines(self, connection: Connection, address: Address) -> None:
         rest = b""
         while True:
-            async with asyncio.timeout(SILENCE):
-                event = await connection.next_event()
-            if isinstance(event, h11.EndOfMessage):
-                raise ConnectionError("discovery ended it")
-            if not isinstance(event, h11.Data):
-                continue
-            *lines, rest = (rest + bytes(event.data)).split(b"\n")
-            if len(rest) > LINE_LIMIT:
-                raise ValueError("a line is too long")
+            async with asyncio.timeout(SILENCE):  # for lines, not for bytes
+                *lines, rest = await self.next_lines(connection, rest)
             for line in lines:
                 if address != self.address and self.seq is not None:
                     return
                 if line.strip():
-                    self.read(Listed(json.loads(line)), address)
+                    self.read_change(Listed(json.loads(line)), address)
+
+    async def next_lines(self, connection: Connection, rest: bytes) -> list[bytes]:
+        """What has come, at least one line of it; last, what is left over for the next one."""
+        while b"\n" not in rest:
+            event = await connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                raise ConnectionError("discovery ended it")
+            rest += bytes(event.data) if isinstance(event, h11.Data) else b""
+            if len(rest) > LINE_LIMIT:
+                raise ValueError("a line is too long")
+        return rest.split(b"\n")
+
+    def read_change(self, told: Listed, address: Address) -> None:
+        if told.whole or address != self.address or self.seq is None or told.seq > self.seq:
+            self.read(told, address)  # else a check was faster than the watch
+
+    async def check(self) -> None:
+        """Compares the whole list with the one held, forever: a watch may live and still tell nothing."""
+        while True:
+            await asyncio.sleep(CHECK)
+            address, held = self.address, self.seq
+            if held is None:
+                continue  # a watch asks for the first list of a new address
+            try:
+                told = await self.fetch(address)
+            except (*BROKEN, *UNREADABLE) as error:
+                log.info("the list could not be checked: %s", str(error) or type(error).__name__)
+                continue
+            if (address, held) == (self.address, self.seq) and told.seq != held:
+                log.warning("the watch has told up to %d, the list is at %d", held, told.seq)
+                self.read(told, address)
+
+    async def fetch(self, address: Address) -> Listed:
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            connection = await Connection.open(address)
+        try:
+            return Listed(json.loads(await self.ask(connection, "/registry/instances")))
+        finally:
+            connection.close()
 
     def read(self, told: Listed, address: Address | None = None) -> None:
         """One line, whole or not at all: what cannot be read has raised before anything is changed."""
--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -56,7 +56,7 @@
     """How the descriptors that the configuration allows are shared out: all that opens one counts here."""
 
     # The standard streams, the loop's three, the listener, the journal and its copy, the configuration, the
-    # watch and the notices with their successors at a new address: 14; and a turn's accepted connections,
+    # watch and the notices with their successors at a new address, the check: 15; and a turn's accepts,
     # which push out others that close only after it.
     OWN: ClassVar[int] = 20 + ACCEPTS
 
@@ -137,6 +137,7 @@
         log.info("%s: %d messages taken over from the journal", self.config.name, len(self.journal.entries))
         self.turn()
         self.spawn(self.discovery.tell())
+        self.spawn(self.discovery.check())
         self.spawn(self.sweep())
         self.spawn(self.report())
         self.server.listen(*self.config.listen)
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -103,15 +103,16 @@
 
 
 class Platform(Peer):
-    """Discovery, whose watch the test feeds, and the notices and calls for the list in `requests`."""
+    """Discovery, whose watch the test feeds; calls for the whole list in `lists`, notices in `requests`."""
 
     def __init__(self) -> None:
         super().__init__()
         self.watches: asyncio.Queue[Request] = asyncio.Queue()
+        self.lists: asyncio.Queue[Request] = asyncio.Queue()
 
     def came(self, request: Request) -> None:
         if "watch" not in request.target:
-            self.requests.put_nowait(request)
+            (self.lists if request.target == "/registry/instances" else self.requests).put_nowait(request)
             return
         request.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.watches.put_nowait(request)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -19,13 +19,16 @@
 
 
 @asynccontextmanager
-async def watching() -> AsyncIterator[tuple[Discovery, Platform, asyncio.Queue[face.EndpointsListed], Any]]:
+async def watching(
+    checked: bool = False,
+) -> AsyncIterator[tuple[Discovery, Platform, asyncio.Queue[face.EndpointsListed], Any]]:
     async with Platform() as platform:
         heard: asyncio.Queue[face.EndpointsListed] = asyncio.Queue()
         answered: asyncio.Queue[str] = asyncio.Queue()
         known = Listed({"seq": 41, "whole": True, "hosts": [host(OLD)]})
         discovery = Discovery(platform.address, known, heard.put_nowait, answered.put_nowait)
-        tasks = [asyncio.create_task(discovery.watch()), asyncio.create_task(discovery.tell())]
+        work = [discovery.watch(), discovery.tell(), *([discovery.check()] if checked else [])]
+        tasks = [asyncio.create_task(each) for each in work]
         yield discovery, platform, heard, answered
         for task in tasks:
             task.cancel()
@@ -76,6 +79,41 @@
     play(test)(Path())
 
 
+def test_bytes_that_make_no_line_do_not_keep_a_watch_alive(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(_: Path) -> None:
+        async with watching() as (_discovery, platform, heard, _answered):
+            watch = await soon(platform.watches.get())
+            for _n in range(1000):
+                if not heard.empty():
+                    break
+                watch.write("1\r\n \r\n")
+                await asyncio.sleep(0.02)
+            assert heard.get_nowait().listing is Listing.FAILED
+
+    monkeypatch.setattr(module, "SILENCE", 0.2)
+    play(test)(Path())
+
+
+def test_a_watch_that_lives_but_tells_nothing_is_found_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(_: Path) -> None:
+        async with watching(checked=True) as (discovery, platform, heard, _answered):
+            watch = await soon(platform.watches.get())
+            (await soon(platform.lists.get())).answer(503)
+            (await soon(platform.lists.get())).answer(200, body=list_line(41, host(OLD), whole=True))
+            assert heard.empty()
+            drained = host(OLD, health="draining")
+            (await soon(platform.lists.get())).answer(200, body=list_line(43, drained, whole=True))
+            told = await soon(heard.get())
+            assert (told.listing, told.endpoints[0].state) == (Listing.FULL, EndpointState.DRAINING)
+            tell(watch, 42, host(OLD))  # the watch is behind: what it tells now is no longer so
+            tell(watch, 44, host(NEW, "new"))
+            assert [each.id for each in (await soon(heard.get())).endpoints] == ["new"]
+            assert discovery.seq == 44 and heard.empty()
+
+    monkeypatch.setattr(module, "CHECK", 0.02)
+    play(test)(Path())
+
+
 @play
 async def test_notices_are_told_again_until_they_are_answered(_: Path) -> None:
     async with watching() as (discovery, platform, _heard, answered):
@@ -167,8 +205,8 @@
         watch = await soon(old.watches.get())
         discovery.move(new.address)
         moved = asyncio.create_task(discovery.watch())
-        (await new.next()).answer(503)
-        asked = await new.next()
+        (await soon(new.lists.get())).answer(503)
+        asked = await soon(new.lists.get())
         assert (asked.method, asked.target) == ("GET", "/registry/instances")
         tell(watch, 99, host(OLD, health="draining"))
         assert (await soon(heard.get())).endpoints[0].state is EndpointState.DRAINING
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -122,6 +122,6 @@
                 assert process.returncode is None
             (tmp_path / "config.json").write_text(json.dumps(config_json(new, host(receiver.dial))))
             process.send_signal(signal.SIGHUP)
-            assert (await new.next()).target == "/registry/instances"
+            assert (await soon(new.lists.get())).target == "/registry/instances"
             assert (await ask(address, message("m1"))).status == 202
             assert (await receiver.next()).id == "m1"
