--- a/elmglade/net/journal.py
+++ b/elmglade/net/journal.py
@@ -96,7 +96,7 @@
                     if not text.endswith(b"\n"):
                         raise ValueError("no end of line")
                     self.apply(json.loads(text), len(text))
-                except (ValueError, KeyError, TypeError, AttributeError) as error:
+                except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
                     log.warning("journal: a record at byte %d is dropped: %s", self.size, error)
                     if not text.endswith(b"\n"):
                         break
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -50,7 +50,13 @@
 
 
 @pytest.mark.parametrize(
-    "text", [b"[]\n", b"{}\n", b'{"sent":"nobody","at":1,"endpoint":"r","zone":"z","number":0}\n']
+    "text",
+    [
+        b"[]\n",
+        b"{}\n",
+        b'{"sent":"nobody","at":1,"endpoint":"r","zone":"z","number":0}\n',
+        b"[" * 100_000 + b"\n",
+    ],
 )
 def test_a_record_that_cannot_be_read_does_not_take_the_others_with_it(tmp_path: Path, text: bytes) -> None:
     first = Journal(tmp_path, LIMIT)
