Shrink the gap only for calls that were sent since it last grew

Served calls of the burst that had drawn a refusal undid the gap at once, so the next burst went after the told wait and was refused again. Refusals of earlier calls were already left out; served ones now are too.

--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -181,8 +181,11 @@
             fade = math.exp(-passed / self.settings.cold)
             self.calls, self.span = self.calls * fade + 1, self.span * fade + passed
         self.last_served = now
-        self.gap = max(self.gap, self.step if self.failures >= FAILURE_THRESHOLD else 0) * (1 - GAP_SHRINK)
-        self.gap *= self.gap >= self.step / 2
+        if self.failures >= FAILURE_THRESHOLD:
+            self.gap = max(self.gap, self.step)
+        if call.sent >= self.gap_changed:  # as with refusals: calls sent before it grew say nothing of it
+            self.gap *= 1 - GAP_SHRINK
+            self.gap *= self.gap >= self.step / 2
         self.failures, self.unserved, self.trial = 0, 0, None
         self.sick *= 1 - MEMORY
 
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -64,6 +64,20 @@
     assert breaker.gap < 2 * first
 
 
+def test_calls_sent_before_a_refusal_do_not_shrink_the_gap_that_it_made() -> None:
+    world = World()
+    refused, *served = [name for _ in range(8) for name in sent(world.take("once"))]
+    world.answer(refused, Outcome.FULL)
+    (breaker,) = world.dispatcher.breakers.values()
+    made = breaker.gap
+    for name in served:
+        world.answer(name, Outcome.OK, after=0)
+    assert breaker.gap == made > 0
+    assert sent(world.step(face.WakeUp(), after=SECOND)) == [refused]
+    world.answer(refused, Outcome.OK)
+    assert breaker.gap < made
+
+
 def test_refusals_do_not_count_as_failures() -> None:
     world = World()
     world.take()
