--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -158,7 +158,8 @@
     attempts: int  # so far; one that was out when the process ended has ended as a reset
     risky_since: int | None  # sending of the first attempt that may have run
     risky_zone: str
-    outcomes: tuple[tuple[str, Outcome], ...] = ()  # endpoint and outcome of each attempt that has one
+    #: Endpoint and outcome of each attempt that has one and went after the last served at the destination.
+    outcomes: tuple[tuple[str, Outcome], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/elmglade/net/journal.py
+++ b/elmglade/net/journal.py
@@ -63,6 +63,10 @@
     return line({"outcome": outcome.value, "of": message, "number": number})
 
 
+def served_line(destination: int, at: int) -> bytes:
+    return line({"served": destination, "at": at})
+
+
 def lines_of(entry: Entry) -> Iterator[bytes]:
     yield taken_line(entry.message)
     for number, attempt in entry.attempts.items():
@@ -76,7 +80,11 @@
         """Opens the file and replays it. `entries` then holds what is still owed, in the order taken."""
         self.folder, self.limit, self.spare = folder, limit, limit // SPARE
         self.entries: dict[str, Entry] = {}
+        #: By destination, when the newest call went that was delivered: it outdates the failures before it,
+        #: and only what failed is still owed and so on record.
+        self.served: dict[int, int] = {}
         self.size = self.live = 0  # bytes of the file, and of the records of what is still owed
+        self.standing = 0  # bytes of the records that the last compacting wrote beside those
         (folder / COMPACTED).unlink(missing_ok=True)  # left by a process that ended while compacting
         self.file = os.open(folder / FILE, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self.replay()
@@ -116,10 +124,18 @@
             # An outcome may come after the end, from an attempt at a message that was over.
             if entry := self.entries.get(record["of"]):
                 entry.attempts[record["number"]].outcome = Outcome(record["outcome"])
+                self.note_served(entry, record["number"])
                 self.grow(record["of"], size)
+        elif "served" in record:
+            self.served[int(record["served"])] = int(record["at"])
         elif entry := self.entries.pop(record["end"], None):
             self.live -= entry.size
 
+    def note_served(self, entry: Entry, number: int) -> None:
+        attempt, destination = entry.attempts[number], entry.message.destination
+        if attempt.outcome is Outcome.OK:
+            self.served[destination] = max(attempt.at, self.served.get(destination, 0))
+
     def grow(self, name: str, size: int) -> None:
         self.entries[name].size += size
         self.live += size
@@ -147,6 +163,7 @@
         record = outcome_line(name, number, outcome)
         if attempt := self.entries[name].attempts.get(number):
             attempt.outcome = outcome
+            self.note_served(self.entries[name], number)
         if attempt and self.append(record):
             self.grow(name, len(record))
 
@@ -154,7 +171,7 @@
         """Lost, the message is tried or told once more after a restart, which does no harm."""
         self.live -= self.entries.pop(name).size
         self.append(line({"end": name}))
-        if self.size > 2 * self.live + self.spare:
+        if self.size > 2 * (self.live + self.standing) + self.spare:
             self.compact()
 
     def append(self, record: bytes) -> bool:
@@ -185,11 +202,14 @@
 
     def compact(self) -> bool:
         """Writes what is still owed to a second file and puts that in the first one's place in one step."""
-        if self.size <= self.live or self.over(self.size, self.live):
+        standing = [served_line(*each) for each in self.served.items()]
+        kept = self.live + sum(map(len, standing))
+        if self.size <= kept or self.over(self.size, kept):
             return False
         path = self.folder / COMPACTED
         try:
             with open(path, "wb") as file:
+                file.writelines(standing)
                 for entry in self.entries.values():
                     for each in lines_of(entry):
                         file.write(each)
@@ -201,4 +221,5 @@
             return False
         os.close(self.file)
         self.file, self.size = fresh, os.fstat(fresh).st_size
+        self.standing = sum(map(len, standing))
         return True
--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -158,12 +158,14 @@
 
     def restored(self, entry: Entry) -> face.MessageRestored:
         risk = entry.first_risk()
+        served = self.journal.served.get(entry.message.destination, 0)
+        since = [each for each in entry.attempts.values() if each.at >= served]
         return face.MessageRestored(
             taken=self.taken(entry.message),
             attempts=max(entry.attempts, default=-1) + 1,
             risky_since=min(risk.at, self.now()) if risk else None,
             risky_zone=risk.zone if risk else "",
-            outcomes=tuple((each.endpoint, each.outcome) for each in entry.attempts.values() if each.outcome),
+            outcomes=tuple((each.endpoint, each.outcome) for each in since if each.outcome),
         )
 
     def reconfigure(self, config: Config) -> None:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -81,6 +81,17 @@
     assert replayed["kept"].attempts[0].outcome is Outcome.FULL
 
 
+def test_when_a_destination_served_last_outlives_its_messages_and_compacting(tmp_path: Path) -> None:
+    first = Journal(tmp_path, LIMIT)
+    for name, at, outcome in (("a", 7, Outcome.OK), ("b", 5, Outcome.OK), ("c", 9, Outcome.RESET)):
+        first.taken(handed_in(name))
+        first.sent(name, 0, Attempt(at, "r", "z"))
+        first.outcome(name, 0, outcome)
+        first.ended(name)
+    for _ in range(2):  # the second start reads what the first one compacted
+        assert Journal(tmp_path, LIMIT).served == {3: 7}
+
+
 def test_both_files_stay_under_the_limit_and_more_is_refused(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -319,6 +319,23 @@
     play(test)(tmp_path)
 
 
+@play
+async def test_failures_before_the_last_served_call_do_not_count_after_a_restart(state: Path) -> None:
+    """What was served is over and off the record: the failures alone would look like an outage."""
+    async with World(state) as world:
+        for name, at, outcome in (("m1", 1000, Outcome.RESET), ("m2", 1001, Outcome.OK)):
+            await world.hand_in(name, **GONE)
+            world.sender.journal.sent(name, 0, Attempt(at, "r", "z"))
+            world.sender.journal.outcome(name, 0, outcome)
+        world.sender.journal.sent("m1", 1, Attempt(1002, "r", "z"))
+        world.sender.journal.outcome("m1", 1, Outcome.CONNECT_FAILED)
+        world.sender.stop(0)
+        await world.running.task
+        again = Sender(config_from(world.told, state))
+        restored = again.restored(again.journal.entries["m1"])
+        assert restored.outcomes == (("r", Outcome.CONNECT_FAILED),)
+
+
 @play
 async def test_an_id_that_is_over_is_not_a_new_message(state: Path) -> None:
     """Guards against a second effect by the same hand-in once more, as by one whose answer was lost."""
