Let a call end a warm-up's doubt only if what is shut could not have served it

The warm-up taken back after bursts had two faults: a call that a shut destination still had in hand took it back too, and its opening would then meet the full rate; and a new process, which has no served call to go by, never took it back. A call now counts from its own sending, and after refusals only if it was sent after them.

--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -83,7 +83,10 @@
         self.step, self.gap, self.gap_changed = GAP_STEP * self.crowd, 0.0, -NEVER
         self.out, self.last_sent, self.wait_until = 0, -NEVER, 0
         self.unserved, self.sick, self.cold_since = 0, 0.0, -NEVER  # unserved: calls since the last served
-        self.cold_before, self.run_errors = -NEVER, False  # cold_since before them; errors among them
+        # A doubt lasts from a call that was not served to one that shows what that was:
+        self.doubting, self.doubt_began, self.errors = False, -NEVER, False  # errors: any are part of it
+        self.up_at, self.cold_before = -NEVER, -NEVER  # last_served and cold_since when it began
+        self.shut_at = -NEVER  # the last refusal for which a warm-up began
         self.served_sent = -NEVER  # sending of the newest call that was served
         self.least_aim = min(each.aim for each in settings.classes)
         self.took, self.spread, self.known = self.least_aim / 4, self.least_aim / 8, 1
@@ -150,26 +153,36 @@
         if call.sent >= self.gap_changed:  # calls sent before the gap last grew say nothing of it
             self.gap, self.gap_changed = min(max(2 * self.gap, self.step), self.most_gap), now
             self.doubt(now, max(FAILURE_THRESHOLD / self.crowd, 2))
+            if self.cold_since == now:
+                self.shut_at = now
             late = self.chance.uniform(0, 2 * self.gap) * (1 - 1 / self.crowd)  # told alike, back apart
             self.wait_until = max(self.wait_until, now) + math.ceil(late)
 
     def doubt(self, now: int, run: float, error: bool = False) -> None:
         """What may be an outage restarts the warm-up: a run of unserved calls, or many failures of late."""
-        if not self.unserved:
-            self.cold_before, self.run_errors = self.cold_since, False
+        if not self.doubting:
+            self.doubting, self.doubt_began, self.up_at = True, now, self.last_served
+            self.cold_before = self.cold_since
+            self.errors = False
         self.unserved += 1
-        self.run_errors |= error
+        self.errors |= error
         if self.unserved >= run or self.sick >= SICK_SHARE:
             self.cold_since = now
 
-    def was_up(self, now: int) -> bool:
-        """Whether the calls not served since the last one that was fit into no outage: those last far longer
-        than the reset timeout. Errors prove nothing: what fails most calls serves some all the while."""
-        return 0 <= now - self.last_served < RESET_TIMEOUT and not self.run_errors
+    def end_doubt(self, now: int, call: Call) -> None:
+        """Takes the warm-up back if the calls that were not served fit into no outage, as those last far
+        longer than the reset timeout. A call sent before the refusals shows nothing: what is shut serves what
+        it has. Nor does any where there were errors: what fails most calls serves some all the while."""
+        if call.sent < self.shut_at and self.cold_since != self.cold_before:
+            return
+        known_up = [at for at in (self.up_at, call.sent) if at <= self.doubt_began]
+        if now - max(known_up, default=-NEVER) < RESET_TIMEOUT and not self.errors:
+            self.cold_since = self.cold_before
+        self.doubting = False
 
     def served(self, now: int, call: Call) -> None:
-        if self.unserved and self.was_up(now):
-            self.cold_since = self.cold_before
+        if self.doubting:
+            self.end_doubt(now, call)
         took = now - call.sent
         self.served_sent = max(self.served_sent, call.sent)
         self.known += 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -164,6 +164,36 @@
     assert (calls <= 10) == paced, "twenty usual calls would fit here"
 
 
+def test_what_a_shut_destination_still_serves_does_not_end_its_warm_up() -> None:
+    world = World()
+    world.take()
+    world.answer("m1", Outcome.OK)
+    (held,), (refused,) = sent(world.take("once")), sent(world.take("once"))
+    (breaker,) = world.dispatcher.breakers.values()
+    for _ in range(2):
+        world.answer(refused, Outcome.FULL, after=MS)
+        assert sent(world.step(face.WakeUp(), after=round(breaker.gap))) == [refused]
+    world.answer(refused, Outcome.FULL, after=MS, wait=8 * SECOND)
+    assert breaker.cold_since == world.now
+    since = world.now
+    world.answer(held, Outcome.OK)
+    assert breaker.cold_since == since
+    (opened,) = sent(world.step(face.WakeUp(), after=8 * SECOND))
+    world.answer(opened, Outcome.OK)
+    assert breaker.cold_since == since  # eight seconds without a served call: it was shut
+
+
+def test_a_new_process_that_meets_a_burst_of_broken_calls_sees_no_outage_either() -> None:
+    world = World()
+    slow, *broken = [name for _ in range(6) for name in sent(world.take("once"))]
+    for name in broken:
+        world.answer(name, Outcome.RESET, after=0)
+    (breaker,) = world.dispatcher.breakers.values()
+    assert breaker.cold_since == world.now
+    world.answer(slow, Outcome.OK)
+    assert breaker.cold_since < 0
+
+
 def restored(
     message: str, attempts: int = 1, risky_since: int | None = 0, **changes: object
 ) -> face.MessageRestored:
