Count no time-out of a call that had less time left than a usual one takes

Calls wait for as long as their message has left. Messages near their end, many after a restart, timed out before a usual call could have been answered, and each counted as a failure of the destination.

--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -381,12 +381,16 @@
             endpoint.bad_until = 0.0
         elif ended.outcome is Outcome.FULL:
             breaker.refused(self.now, call)
-        elif ended.outcome in face.FAILURES and not call.overdue:
+        elif ended.outcome in face.FAILURES and not (call.overdue or self.cut_short(call, ended)):
             self.count_failure(breaker, ended.outcome)
             endpoint.bad_until = self.now + RESET_TIMEOUT
         elif call is breaker.trial:
             breaker.trial = None
 
+    def cut_short(self, call: Call, ended: face.AttemptEnded) -> bool:
+        """Guards a destination from messages near their end: they had less time left than a call takes."""
+        return ended.outcome is Outcome.TIMEOUT and self.now < call.breaker.overdue_at(call)
+
     def list_endpoints(self, listed: face.EndpointsListed) -> None:
         """Rule: drains are kept, from the moment they are told: only ready endpoints are known here."""
         if listed.listing is Listing.FAILED:
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -1,5 +1,6 @@
 """The breaker of the ordinary path."""
 
+import pytest
 from helpers import MS, SECOND, World, ended, endpoint, sent
 
 from elmglade import interface as face
@@ -86,6 +87,19 @@
         assert sent(world.step(face.WakeUp(), after=9 * SECOND // 2)) == ["m1"]
 
 
+@pytest.mark.parametrize("took, counts", [(50 * MS, False), (3 * SECOND, True)])
+def test_a_message_with_too_little_time_left_is_no_failure_of_its_destination(
+    took: int, counts: bool
+) -> None:
+    world = World()
+    for _ in range(FAILURE_THRESHOLD):
+        world.take("once", time_left=took + 10 * MS)
+    for each in range(FAILURE_THRESHOLD):
+        world.answer(f"m{each + 1}", Outcome.TIMEOUT, after=0 if each else took)
+    (breaker,) = world.dispatcher.breakers.values()
+    assert (breaker.failures > 0) == counts
+
+
 def test_overdue_calls_open_the_breaker_before_any_time_out() -> None:
     world = World()
     for _ in range(FAILURE_THRESHOLD):
