Keep the gap down to an eighth of its step, and shrink it by 8% a served call

A gap below half of the smallest step, 50 ms, was dropped to none after four served calls, so no limit above 20 calls/s a sender could be paced: burst, refusal, told wait of a second, burst.

Ruled out: warm-ups, slots.

--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -21,7 +21,8 @@
 TOLD_STEP = 0.5  # of the time between calls at this sender's part of the told rate: the step at the most
 TOLD_MOST = 4  # times that: the gap at the most; a cold destination takes a fifth, and has its own gap
 GAP_SENDERS = 4  # senders up to which the gap ends at the reset timeout; more share a limit more thinly
-GAP_SHRINK = 0.15  # share of the gap that a served call takes off: five serve to undo most of a doubling
+GAP_SHRINK = 0.08  # share of the gap that a served call takes off: a refusal may cost a wait of ten calls
+GAP_LET_GO = 1 / 8  # of the smallest step: a gap below that is none; above it many limits lie
 SICK_SHARE = 0.4  # recent failures among calls from which a destination is doubtful: far above stray errors
 MEMORY = 0.125  # weight of the newest call in that share and in the usual time; as TCP smooths round trips
 OVERDUE_SPREADS = 4  # mean deviations above the usual time from which a call is overdue; TCP's time-out rule
@@ -198,7 +199,7 @@
             self.gap = max(self.gap, self.step)
         if call.sent >= self.gap_changed:  # as with refusals: calls sent before it grew say nothing of it
             self.gap *= 1 - GAP_SHRINK
-            self.gap *= self.gap >= self.step / 2
+            self.gap *= self.gap >= self.step * GAP_LET_GO
         self.failures, self.unserved, self.trial = 0, 0, None
         self.sick *= 1 - MEMORY
 
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -79,6 +79,23 @@
     assert breaker.gap < made
 
 
+def test_a_limit_above_that_of_the_smallest_step_is_paced() -> None:
+    world = World()
+    world.take()
+    world.answer("m1", Outcome.FULL)
+    refused, served = 0, -SECOND
+    for _ in range(300):
+        for name in sent(world.take("once", after=10 * MS)):
+            if world.now - served < 30 * MS:  # the destination takes a call in that time
+                world.answer(name, Outcome.FULL, after=0)
+                refused += 1
+            else:
+                world.answer(name, Outcome.OK, after=0)
+                served = world.now
+    (breaker,) = world.dispatcher.breakers.values()
+    assert breaker.gap > 0 and refused <= 15, "a gap let go too soon draws a refusal every few calls"
+
+
 def test_refusals_do_not_count_as_failures() -> None:
     world = World()
     world.take()
