Keep a warm-up at a told wait's end from being brought forward by a late failure

A failure of a call sent before the refusal set the start of the warm-up back to now, so the opening of the shut destination came into a part of it that is warmer. The status line also tells of destinations without an endpoint, and the notes and that line have tests.

--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -170,7 +170,7 @@
         self.unserved += 1
         self.errors |= error
         if self.unserved >= run or self.sick >= SICK_SHARE:
-            self.cold_since = now
+            self.cold_since = max(self.cold_since, now)  # it may be the end of a told wait that is to come
 
     def end_doubt(self, now: int, call: Call) -> None:
         """Takes the warm-up back if the calls that were not served fit into no outage, as those last far
@@ -537,11 +537,8 @@
     def most_held(self, count: int) -> list[str]:
         """For the status line: the destinations that hold most, and what keeps their next call back."""
         held = heapq.nlargest(count, ((len(line), name) for name, line in self.waiting.items() if line))
-        return [
-            f"{name}: {size} {each.state(self.now)}"
-            for size, name in held
-            for each in self.breakers_at.get(name, ())
-        ]
+        states = {name: [each.state(self.now) for each in self.breakers_at.get(name, ())] for _, name in held}
+        return [f"{name}: {size} {' '.join(states[name]) or '(no endpoint)'}" for size, name in held]
 
     def breaker_of(self, endpoint: Endpoint) -> Breaker:
         listed = endpoint.listed
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -117,6 +117,19 @@
     assert (breaker.failures > 0) == counts
 
 
+def test_each_opening_and_closing_is_noted() -> None:
+    world = World()
+    notes = []
+    for _ in range(FAILURE_THRESHOLD):
+        world.take("once")
+        notes += world.answer(f"m{world.count}", Outcome.RESET)
+    world.take()
+    (trial,) = sent(world.step(face.WakeUp(), after=RESET_TIMEOUT))
+    notes += world.answer(trial, Outcome.OK)
+    opens, closes = [each.text for each in notes if isinstance(each, face.Note)]
+    assert opens.startswith("destination 1 opens: reset") and "closes after 2.0 s" in closes
+
+
 def test_overdue_calls_open_the_breaker_before_any_time_out() -> None:
     world = World()
     for _ in range(FAILURE_THRESHOLD):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -196,6 +196,27 @@
     assert breaker.cold_since == world.now
 
 
+def test_a_failure_during_a_long_told_wait_does_not_bring_the_warm_up_forward() -> None:
+    world = World()
+    refused, *broken = [name for _ in range(5) for name in sent(world.take("once"))]
+    world.answer(refused, Outcome.FULL, wait=8 * SECOND)
+    opens = world.now + 8 * SECOND
+    for name in broken:
+        world.answer(name, Outcome.RESET)
+    (breaker,) = world.dispatcher.breakers.values()
+    assert breaker.cold_since == opens
+
+
+def test_the_status_line_tells_what_keeps_the_next_call_back() -> None:
+    world = World()
+    world.take()
+    world.answer("m1", Outcome.FULL, wait=3 * SECOND)
+    world.take(destination=9)
+    (held, nowhere) = sorted(world.dispatcher.most_held(3))
+    assert held.startswith("1: 1 (") and "told wait 3.00 s" in held
+    assert nowhere == "9: 1 (no endpoint)"
+
+
 def test_a_destination_that_refused_for_long_is_cold_though_few_calls_show_it() -> None:
     world = World()
     world.take()
