--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -37,7 +37,8 @@
     1 / 3
 )  # of a failure: an error is an answer, also a spoilt one; the paper allows a threshold for each kind
 ROOM_GROWTH = 0.1  # calls at once that each served call adds to the room of an endpoint that was crowded
-SCARCE_TIMES = 3  # idle times for which a refused connect makes a crowd close its connections after use
+SCARCE_TIMES = 3  # idle times for which a crowd closes connections after use where one was turned away
+AGAIN_DOUBLINGS = 4  # of a call's time, after which a connection that was turned away is asked for again
 IDLE_AGE = 60_000_000  # us after which what stands unused is forgotten: far above any outage's length
 AGE_CHECK = 5_000_000  # us between looks for that
 CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
@@ -45,7 +46,7 @@
 
 
 class Endpoint:
-    KEPT = ("bad_until", "last_sent", "room")  # as with breakers
+    KEPT = ("bad_until", "last_sent", "room", "again_at", "turned_away")  # as with breakers
 
     def __init__(self, listed: face.Endpoint) -> None:
         self.listed, self.out = listed, 0
@@ -53,6 +54,7 @@
         self.room = (
             NEVER  # calls that may be out here at once; told nowhere, found where connections are refused
         )
+        self.again_at, self.turned_away = -NEVER, 0  # ask for connections from then
         self.breaker: Breaker
 
 
@@ -251,7 +253,7 @@
         self.keys: dict[str, KeyLine] = {}
         self.calls: dict[tuple[str, int], Call] = {}
         self.idle: dict[str, Endpoint] = {}  # with a call just ended
-        self.scarce_until = 0  # connects were refused of late
+        self.scarce: dict[str, float] = {}  # kinds of destination short of connections, and until when
         self.out: dict[Call, None] = {}  # distinct calls, oldest first
         self.deadlines: list[tuple[float, int, Message]] = []  # a heap: when a message may have to end
         self.quiet: list[tuple[int, str]] = []  # a heap: when a key has rested
@@ -340,7 +342,7 @@
             ],
             "calls": [self.call_known(each) for each in self.out],
             "ended": list(self.unanswered),
-            "scarce_until": self.scarce_until,
+            "scarce": self.scarce,
             "keys": [[key, line.quiet_until] for key, line in self.keys.items()],
         }
 
@@ -370,7 +372,7 @@
             if message := self.messages.get(name):
                 self.unanswered[name] = message
                 self.finish(message)
-        self.scarce_until = memory["scarce_until"]
+        self.scarce.update(memory.get("scarce", {}))
         for key, quiet_until in memory["keys"]:
             if line := self.keys.get(key):
                 line.quiet_until = max(line.quiet_until, quiet_until)
@@ -465,8 +467,6 @@
             breaker.out -= 1
             endpoint.out -= 1
             self.idle[endpoint.listed.id] = endpoint
-            if ended.outcome is Outcome.CONNECT_FAILED and not call.overdue:
-                self.scarce_until = self.now + SCARCE_TIMES * self.settings.conn_idle
             del self.out[call]
         if call.settled:
             return  # a batch has one fate
@@ -476,8 +476,9 @@
             self.note_state(breaker, "served")
             endpoint.bad_until = 0.0
             endpoint.room += ROOM_GROWTH
-        elif ended.outcome is Outcome.CROWDED and endpoint.out and call is not breaker.trial:
-            endpoint.room = endpoint.out  # it serves, but no more at once: that says nothing of a rate
+            endpoint.turned_away = 0
+        elif ended.outcome is Outcome.CROWDED and call is not breaker.trial and self.is_crowd(endpoint):
+            self.crowded(endpoint)
         elif ended.outcome in (Outcome.FULL, Outcome.CROWDED):
             breaker.refused(self.now, call, ended.wait)
         elif ended.outcome in face.FAILURES and not (call.overdue or self.cut_short(call, ended)):
@@ -486,6 +487,27 @@
         elif call is breaker.trial:
             breaker.trial = None
 
+    def is_crowd(self, endpoint: Endpoint) -> bool:
+        """Whether connections fill the endpoint: own ones, or those of many senders. It may be shut where
+        this goes on, or where hardly anyone else calls: then only a gap keeps calls away."""
+        many = self.settings.fleet_size > GAP_SENDERS and endpoint.turned_away <= AGAIN_DOUBLINGS
+        return endpoint.out > 0 or many
+
+    def crowded(self, endpoint: Endpoint) -> None:
+        """It serves, but no more connections at once: that says nothing of a rate or of its health. Others'
+        calls end in about a call's time; the idle connections of many senders do not, so each gives back its
+        own, at all endpoints of the kind, as those that hold one are never turned away to learn of it."""
+        if endpoint.out:
+            endpoint.room = endpoint.out
+        if self.settings.fleet_size <= GAP_SENDERS:
+            return
+        pause = min(endpoint.breaker.took * 2 ** min(endpoint.turned_away, AGAIN_DOUBLINGS), RESET_TIMEOUT)
+        endpoint.again_at = self.now + pause * self.random.uniform(0.5, 1.5)
+        endpoint.turned_away += 1
+        kind = endpoint.listed.kind
+        self.scarce[kind] = self.now + SCARCE_TIMES * self.settings.conn_idle
+        self.idle |= {name: each for name, each in self.endpoints.items() if each.listed.kind == kind}
+
     def cut_short(self, call: Call, ended: face.AttemptEnded) -> bool:
         """Guards a destination from messages near their end: they had less time left than a call takes."""
         return ended.outcome is Outcome.TIMEOUT and self.now < call.breaker.overdue_at(call)
@@ -652,8 +674,8 @@
         return self.breakers[key]
 
     def ready_at(self, destination: int) -> float:
-        at = self.breakers_at.get(destination, ())
-        return min((each.ready_at(self.now) for each in at), default=NEVER)
+        at = self.by_destination.get(destination, ())
+        return min((max(each.breaker.ready_at(self.now), each.again_at) for each in at), default=NEVER)
 
     def send_next(self) -> None:
         """The one ordered pass: what goes next, over all destinations."""
@@ -677,8 +699,12 @@
             if len(self.out) >= self.settings.slots and not self.batches:
                 break
         # Guards against a crowd's idle connections that fill what endpoints accept.
-        if self.settings.fleet_size > GAP_SENDERS and self.now < self.scarce_until:
-            self.actions += [face.CloseIdle(name) for name, each in self.idle.items() if not each.out]
+        if self.settings.fleet_size > GAP_SENDERS:
+            self.actions += [
+                face.CloseIdle(name)
+                for name, each in self.idle.items()
+                if not each.out and self.now < self.scarce.get(each.listed.kind, -NEVER)
+            ]
         self.idle = {}
 
     def wait_told(self, endpoint: str, until: int) -> None:
@@ -698,7 +724,8 @@
                 continue  # rule: no effect twice; only that zone drops the repeat
             breaker, listed = endpoint.breaker, endpoint.listed
             joins = self.may_join(batches.get(listed.id), listed)
-            if not (joins or (self.may_call(breaker) and endpoint.out + 1 <= endpoint.room)):
+            room = endpoint.out + 1 <= endpoint.room and endpoint.again_at <= self.now
+            if not (joins or (room and self.may_call(breaker))):
                 continue
             fee = self.fees.get(listed.zone, 0.0) if self.kinds[listed.kind].apart else 0.0
             bad, away = max(endpoint.bad_until, self.now), listed.zone != self.settings.zone
