--- a/elmglade/net/discovery.py
+++ b/elmglade/net/discovery.py
@@ -19,8 +19,9 @@
 WATCH_PATIENCE = (
     2.0  # s for the head of a watch after one that did not answer: one asked late is asked of less
 )
+MOST_PATIENCE = 10.0  # s for either in a large fleet, see below
 CHECK = 2.0  # s between looks at the whole list, which show a watch that lives but tells nothing
-CHECK_SENDERS = 4  # senders up to which that holds; more of them look as often jointly, each more rarely
+FEW = 4  # senders up to which these hold; more look as often jointly, each more rarely, and wait longer
 CHECK_DOUBLINGS = 3  # of that time while discovery doesn't answer: it may be short of room for watches
 CHECK_JITTER = 0.25  # of that time, more or less: senders that start together drift apart
 CONNECT_TIMEOUT = 1.0
@@ -75,19 +76,24 @@
         senders: int = 1,  # that share this discovery
     ) -> None:
         self.address, self.listed, self.answered = address, listed, answered
-        self.check_every = CHECK * max(senders / CHECK_SENDERS, 1)
+        many = max(senders / FEW, 1)
+        self.check_every = CHECK * many
+        # Many senders ask at once after a restart or an outage. Whoever gives up early has used its place in
+        # the queue, asks again behind the others, and may never hear at all.
+        self.first_patience = min(ANSWER_TIMEOUT * many, MOST_PATIENCE)
+        self.next_patience = min(WATCH_PATIENCE * many, MOST_PATIENCE)
         #: The version held; none when it is another service's, whose versions mean nothing to this one.
         self.seq: int | None = known.seq
         self.dials, self.hosts = dict(known.dials), dict(known.hosts)
         self.destinations = {each.destination for each in known.endpoints}  # all that a list ever named
-        self.patience = ANSWER_TIMEOUT  # s for the head of the next watch
+        self.patience = self.first_patience  # s for the head of the next watch
         self.notices: dict[str, dict[str, Any]] = {}
         self.has_notices = asyncio.Event()
 
     def move(self, address: Address) -> None:
         """From now on discovery is there. The caller starts a watch; the one before goes on until that one
         has its first list, and notices under way are answered where they are or told again over there."""
-        self.address, self.seq, self.patience = address, None, ANSWER_TIMEOUT
+        self.address, self.seq, self.patience = address, None, self.first_patience
 
     async def watch(self) -> None:
         """One watch, to its end. However it ends, the module is told and decides when to ask again; but the
@@ -123,10 +129,10 @@
                     async with asyncio.timeout(CONNECT_TIMEOUT):
                         connection = await Connection.open(address)
             await connection.send("GET", f"/registry/instances?watch=1&after={self.seq}", {})
-            patience, self.patience = self.patience, WATCH_PATIENCE
+            patience, self.patience = self.patience, self.next_patience
             async with asyncio.timeout(patience):
                 await expect_ok(connection)
-            self.patience = ANSWER_TIMEOUT
+            self.patience = self.first_patience
             await self.read_lines(connection, address)
         finally:
             connection.close()
@@ -134,7 +140,7 @@
     async def ask(self, connection: Connection, target: str) -> bytes:
         await connection.send("GET", target, {})
         body = bytearray()
-        async with asyncio.timeout(ANSWER_TIMEOUT):
+        async with asyncio.timeout(self.first_patience):
             await expect_ok(connection)
             while not isinstance(event := await connection.next_event(), h11.EndOfMessage):
                 body += event.data if isinstance(event, h11.Data) else b""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -317,3 +317,21 @@
             while discovery.patience != module.ANSWER_TIMEOUT:
                 await asyncio.sleep(0.001)
         watching.cancel()
+
+
+@play
+async def test_many_senders_keep_their_place_in_the_queue_of_a_busy_discovery(_: Path) -> None:
+    """Seen on the large fleet: 31 of 40 gave up after 1 to 2 s, again and again, and never heard a list."""
+    async with Peer() as busy:
+        known = Listed({"seq": 41, "whole": True, "hosts": [host(OLD)]})
+        few, many = (
+            Discovery(busy.address, known, lambda _: None, lambda name, state: None, senders)
+            for senders in (4, 40)
+        )
+        asking = [asyncio.create_task(each.watch_once(busy.address)) for each in (few, many)]
+        await asyncio.wait(asking, timeout=20, return_when=asyncio.FIRST_COMPLETED)
+        assert asking[0].done() and isinstance(asking[0].exception(), TimeoutError)
+        assert not asking[1].done()
+        asking[1].cancel()
+        patience = [few.first_patience, few.next_patience, many.first_patience, many.next_patience]
+        assert patience == [module.ANSWER_TIMEOUT, module.WATCH_PATIENCE, *[module.MOST_PATIENCE] * 2]
