--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -15,6 +15,7 @@
 from elmglade.net.discovery import Listed
 from elmglade.net.handover import come_into
 from elmglade.net.http import address_from
+from elmglade.net.loop import Loop
 from elmglade.net.sender import AGAIN, Sender
 from elmglade.settings import settings_from
 
@@ -89,12 +90,17 @@
     return code
 
 
+def run() -> int:
+    with asyncio.Runner(loop_factory=Loop) as runner:
+        return runner.run(serve(read_config()))
+
+
 def main() -> int:
     logging.basicConfig(
         level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
     try:
-        while (code := asyncio.run(serve(read_config()))) == AGAIN:
+        while (code := run()) == AGAIN:
             log.warning("the process that took over has ended; this one starts again from the journal")
         return code
     except BadConfig as error:
--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -296,7 +296,8 @@
             counts, self.counts = self.counts, Counter()
             log.info(
                 "%s: holds %d of %d, %d owed, %d notices unanswered; calls out %d of %d; connections %d out, "
-                "%d idle, %d in; list at %s, %d endpoints; since the last report: %s; held most at %s",
+                "%d idle, %d in, unread for %.0f ms at most; list at %s, %d endpoints; "
+                "since the last report: %s; held most at %s",
                 self.config.name,
                 len(self.dispatcher.messages),
                 self.settings.max_open,
@@ -307,11 +308,13 @@
                 len(self.client.open),
                 len(self.client.idle),
                 len(self.server.connections),
+                self.server.longest_unread * 1e3,
                 self.discovery.seq,
                 len(self.dispatcher.endpoints),
                 ", ".join(f"{name} {count}" for name, count in sorted(counts.items())) or "nothing",
                 "; ".join(self.dispatcher.most_held(HELD_LOGGED)) or "none",
             )
+            self.server.longest_unread = 0.0
 
     # What operators ask.
 
--- a/elmglade/net/server.py
+++ b/elmglade/net/server.py
@@ -6,6 +6,7 @@
 import logging
 import select
 import socket
+import time
 from collections import deque
 from collections.abc import Callable, Iterator
 from itertools import takewhile
@@ -15,6 +16,7 @@
 
 from elmglade.interface import Effect, MessageClass
 from elmglade.net.http import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, decimal, header
+from elmglade.net.loop import polls_of
 from elmglade.net.message import HandedIn
 
 READY = "/health/ready"
@@ -30,6 +32,7 @@
 # us of a message's time that are not its own: since it was sent it has waited to be read, and an answer that
 # comes at the last moment would be taken for a delivery when its time is up for everybody else.
 ON_THE_WAY = 50_000
+UNPOLLED = 3  # turns of the loop from taking a connection to its first poll, at the most
 READ_SHARE = 0.003  # s of a turn for reading requests, then what receivers and the clock have to say is heard
 ACCEPT_PAUSE = 0.05  # s until the next try where no descriptor was left
 NO_DESCRIPTOR = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
@@ -44,7 +47,7 @@
 
 
 def read_message(request: h11.Request, body: bytes, began: int, classes: dict[str, MessageClass]) -> HandedIn:
-    """`began` is when the request's first bytes were read: the client's time left runs from its sending."""
+    """`began` is when the request's first bytes may have come: its time left runs from its sending."""
 
     def field(name: str) -> str:
         return header(request.headers, name.lower().encode()) or ""
@@ -89,7 +92,8 @@
     def __init__(self, server: "Server", sock: socket.socket) -> None:
         self.server, self.sock = server, sock
         self.codec = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
-        self.began: int | None = None  # us, wall clock: when the request at hand began to come
+        self.began: int | None = None  # us, wall clock: when the request at hand may have begun to come
+        self.opened = server.turn_now()
         self.since = server.loop.time()  # s: when the wait at hand began: for its request, or for it to leave
         self.heard = self.since  # s: when the newest bytes came
         self.request: h11.Request | None = None
@@ -124,7 +128,7 @@
                 self.transport.pause_reading()
             return
         if self.began is None:
-            self.began = self.server.now()
+            self.began = self.server.now() - self.server.unread_for(*self.opened)
             if self in self.server.silent:
                 del self.server.silent[self]
             else:
@@ -337,6 +341,9 @@
         self.accepts = accepts
         self.most, self.lingering = most, lingering
         self.loop = asyncio.get_running_loop()
+        self.polls = polls_of(self.loop)
+        self.queued_since: float | None = None  # clients may have waited since then to be taken
+        self.longest_unread = 0.0  # s, since the last report
         self.buffer = bytearray(READ_SIZE)  # one for all: what came is copied before another one reads
         self.connections: set[Connection] = set()
         # Of these, each in the order in which it came to be so:
@@ -386,6 +393,20 @@
         if proven or others:
             self.loop.call_soon(self.read_some)
 
+    def turn_now(self) -> tuple[int, float]:
+        return (self.polls.turn, self.queued_since or self.polls.since) if self.polls else (0, 0.0)
+
+    def unread_for(self, turn: int, opened: float) -> int:
+        """us for which what is read now may have waited, at the most: a sender that is late (just started, on
+        a shared core) owes the end of a message all the same. `turn`, `opened`: of its connection, which is
+        polled a few turns after it is taken."""
+        if self.polls is None:
+            return 0
+        since = opened if self.polls.turn - turn <= UNPOLLED else self.polls.since
+        waited = max(time.monotonic() - since, 0.0)
+        self.longest_unread = max(self.longest_unread, waited)
+        return int(waited * 1e6)
+
     def accept(self) -> None:
         for _ in range(self.accepts):
             if self.listener is None:
@@ -393,6 +414,7 @@
             try:
                 sock = self.listener.accept()[0]
             except (BlockingIOError, InterruptedError):
+                self.queued_since = None
                 return
             except OSError as error:
                 if error.errno not in NO_DESCRIPTOR:
@@ -412,6 +434,7 @@
             connection = Connection(self, sock)
             self.silent[connection] = None
             self.take_in(connection)
+        self.queued_since = self.turn_now()[1]
 
     def take_in(self, connection: Connection) -> None:
         self.connections.add(connection)
