--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -91,6 +91,7 @@
         *("opened", "failures", "trial_at", "gap", "gap_changed", "last_sent", "wait_until", "unserved"),
         *("sick", "cold_since", "doubting", "doubt_began", "errors", "up_at", "cold_before", "shut_at"),
         *("served_sent", "took", "spread", "known", "calls", "span", "last_served"),
+        *("asked", "asked_span", "last_asked"),
     )
 
     def __init__(self, settings: face.Settings, chance: random.Random, name: str = "") -> None:
@@ -100,6 +101,7 @@
         self.crowd = max(settings.fleet_size / GAP_SENDERS, 1)
         self.most_gap = RESET_TIMEOUT * self.crowd
         self.step, self.gap, self.gap_changed = GAP_STEP * self.crowd, 0.0, -NEVER
+        self.asked, self.asked_span, self.last_asked = 0.0, 0.0, NEVER
         self.out, self.last_sent, self.wait_until = 0, -NEVER, 0
         self.unserved, self.sick, self.cold_since = 0, 0.0, -NEVER  # unserved: calls since the last served
         # A doubt lasts from a call that was not served to one that shows what that was:
@@ -118,6 +120,18 @@
         self.step = min(GAP_STEP * self.crowd, TOLD_STEP * self.told_gap)
         self.most_gap = min(RESET_TIMEOUT * self.crowd, TOLD_MOST * self.told_gap)
 
+    def asked_for(self, now: int, routes: int) -> None:
+        """A message came for this destination. In a crowd the gap's ends follow from how often this sender's
+        do: its part of any limit is of that order, and a gap far above it takes many calls to shrink."""
+        if (passed := now - self.last_asked) >= 0:
+            fade = math.exp(-passed / self.settings.cold)
+            self.asked, self.asked_span = self.asked * fade + 1 / routes, self.asked_span * fade + passed
+        self.last_asked = now
+        if self.crowd > 1 and self.asked and self.told_gap == NEVER:
+            interval = max(self.asked_span / self.asked, 1.0) / (1 - 1 / self.crowd)
+            self.step = min(GAP_STEP * self.crowd, TOLD_STEP * interval)
+            self.most_gap = min(RESET_TIMEOUT * self.crowd, TOLD_MOST * interval)
+
     def ready_at(self, now: int) -> float:
         """When the next call may go; NEVER while a trial's result decides it."""
         if self.failures >= FAILURE_THRESHOLD:
@@ -171,7 +185,8 @@
             self.restart(now)
         if call.sent >= self.gap_changed:  # calls sent before the gap last grew say nothing of it
             self.gap, self.gap_changed = min(max(2 * self.gap, self.step), self.most_gap), now
-            self.doubt(now, max(FAILURE_THRESHOLD / self.crowd, 2))
+            # Many senders meet a limit far more often than something shut, which mostly tells a long wait.
+            self.doubt(now, max(FAILURE_THRESHOLD / self.crowd, 2), weight=1 / self.crowd)
             if self.cold_since == now:
                 self.shut_at = now
             late = self.chance.uniform(0, 2 * self.gap) * (1 - 1 / self.crowd)  # told alike, back apart
@@ -179,13 +194,13 @@
         if wait >= RESET_TIMEOUT:  # no limit tells so long a wait: it is shut, and opens cold
             self.cold_since, self.shut_at = max(self.cold_since, now + wait), now
 
-    def doubt(self, now: int, run: float, error: bool = False) -> None:
+    def doubt(self, now: int, run: float, error: bool = False, weight: float = 1) -> None:
         """What may be an outage restarts the warm-up: a run of unserved calls, or many failures of late."""
         if not self.doubting:
             self.doubting, self.doubt_began, self.up_at = True, now, self.last_served
             self.cold_before = self.cold_since
             self.errors = False
-        self.unserved += 1
+        self.unserved += weight
         self.errors |= error
         if self.unserved >= run or self.sick >= SICK_SHARE:
             self.cold_since = max(self.cold_since, now)  # it may be the end of a told wait that is to come
@@ -199,7 +214,7 @@
         known_up = [at for at in (self.up_at, call.sent) if at <= self.doubt_began]
         if now - max(known_up, default=-NEVER) < RESET_TIMEOUT and not self.errors:
             self.cold_since = self.cold_before
-        elif now - self.doubt_began >= RESET_TIMEOUT:
+        elif now - self.doubt_began >= RESET_TIMEOUT and self.unserved >= 1:
             self.cold_since = max(self.cold_since, now)  # it may have been one, however few calls show it
         self.doubting = False
 
@@ -220,7 +235,8 @@
         if self.failures >= FAILURE_THRESHOLD:
             self.gap = max(self.gap, self.step)
         if call.sent >= self.gap_changed:  # as with refusals: calls sent before it grew say nothing of it
-            self.gap *= 1 - GAP_SHRINK
+            calm = min((now - self.gap_changed) / (2 * RESET_TIMEOUT), 1)
+            self.gap *= (1 - GAP_SHRINK) ** (1 + calm * (self.crowd - 1) / 2)
             self.gap *= self.gap >= self.step * GAP_LET_GO
         self.failures, self.unserved, self.trial = 0, 0, None
         self.sick *= 1 - MEMORY
@@ -302,6 +318,9 @@
         share = self.within_share(taken.tenant)
         message = Message(taken, self.classes[taken.message_class], self.now, share)
         self.messages[message.id] = message
+        routes = self.breakers_at.get(message.destination, ())
+        for breaker in routes:
+            breaker.asked_for(self.now, len(routes))
         self.waiting.setdefault(message.destination, {})[message.id] = message
         heapq.heappush(self.deadlines, (message.until, next(self.count), message))
         if message.key:
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -4,7 +4,7 @@
 
 from elmglade import interface as face
 from elmglade.interface import Outcome
-from elmglade.rules import FAILURE_THRESHOLD, RESET_TIMEOUT
+from elmglade.rules import FAILURE_THRESHOLD, GAP_SENDERS, GAP_SHRINK, GAP_STEP, RESET_TIMEOUT, Call
 
 CROWD = 200
 
@@ -105,6 +105,49 @@
     return isinstance(action, face.CloseIdle)
 
 
+def test_the_gap_of_a_crowd_follows_from_how_often_messages_come_for_the_destination() -> None:
+    """Seen on the large fleet: gaps of 2 s and more where a message came every 0.3 s, for 15 s on end."""
+    gaps = []
+    for pause in (SECOND // 10, SECOND):
+        world = World(fleet_size=CROWD)
+        for _ in range(5):
+            world.take(after=pause)
+            world.answer(f"m{world.count}", Outcome.OK)
+        (breaker,) = world.dispatcher.breakers.values()
+        gaps.append((breaker.step, breaker.most_gap))
+    few = World(fleet_size=2)
+    few.take()
+    (breaker,) = few.dispatcher.breakers.values()
+    assert (breaker.step, breaker.most_gap) == (GAP_STEP, RESET_TIMEOUT)
+    assert gaps[0][0] < gaps[1][0] and gaps[0][1] < gaps[1][1] < RESET_TIMEOUT * CROWD / GAP_SENDERS
+
+
+def test_refusals_alone_start_no_warm_up_in_a_crowd() -> None:
+    """Many senders meet limits all the time: a warm-up after two refusals held calls for nothing."""
+    for fleet, warms in ((2, True), (CROWD, False)):
+        world = World(fleet_size=fleet)
+        (breaker,) = [world.dispatcher.breaker_at(1, "")]
+        for _ in range(4):
+            call = Call(breaker, world.dispatcher.endpoints["a"], world.now)
+            breaker.refused(world.now, call, 0)
+            world.now += RESET_TIMEOUT
+        assert (breaker.cold_gap(world.now) > 0) == warms
+        breaker.served(world.now, Call(breaker, world.dispatcher.endpoints["a"], world.now))
+        assert (breaker.cold_gap(world.now) > 0) == warms
+
+
+def test_the_gap_of_a_crowd_shrinks_faster_the_longer_no_refusal_comes() -> None:
+    left = []
+    for fleet, calm in ((2, 10 * SECOND), (CROWD, 0), (CROWD, 10 * SECOND)):
+        world = World(fleet_size=fleet)
+        (breaker,) = [world.dispatcher.breaker_at(1, "")]
+        breaker.gap, breaker.gap_changed = 4.0 * SECOND, world.now
+        world.now += calm
+        breaker.served(world.now, Call(breaker, world.dispatcher.endpoints["a"], world.now))
+        left.append(breaker.gap / (4 * SECOND))
+    assert left[0] == left[1] == 1 - GAP_SHRINK > left[2]
+
+
 def test_usual_time_is_learned_from_the_first_calls() -> None:
     world = World()
     for _ in range(3):
