--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -21,6 +21,8 @@
 GAP_STEP = 100_000  # us, the smallest gap: about one call's time at a destination of usual pace
 TOLD_STEP = 0.5  # of the time between calls at this sender's part of the told rate: the step at the most
 TOLD_MOST = 4  # times that: the gap at the most; a cold destination takes a fifth, and has its own gap
+ASKED_STEP = 1.25  # of the time between a crowd's messages to a destination: its first gap there
+ASKED_MOST = 6  # times that: its longest
 GAP_SENDERS = 4  # senders up to which the gap ends at the reset timeout; more share a limit more thinly
 ASKING = 4  # senders up to which a discovery that failed is asked again soon; more ask more rarely
 GAP_SHRINK = 0.08  # share of the gap that a served call takes off: a refusal may cost a wait of ten calls
@@ -100,6 +102,7 @@
         self.opened: int | None = None  # since when it has been open, for the notes alone
         self.failures, self.trial_at, self.trial = 0, -NEVER, None
         self.crowd = max(settings.fleet_size / GAP_SENDERS, 1)
+        self.many = 1 - 1 / self.crowd  # 0 for a few senders, near 1 for very many
         self.most_gap = RESET_TIMEOUT * self.crowd
         self.step, self.gap, self.gap_changed = GAP_STEP * self.crowd, 0.0, -NEVER
         self.asked, self.asked_span, self.last_asked = 0.0, 0.0, NEVER
@@ -123,15 +126,17 @@
 
     def asked_for(self, now: int, routes: int) -> None:
         """A message came for this destination. In a crowd the gap's ends follow from how often this sender's
-        do: its part of any limit is of that order, and a gap far above it takes many calls to shrink."""
+        do: its part of any limit is of that order. A first gap below that changes nothing, and where refused
+        calls use the limit up it then serves nobody; one far above takes many calls to shrink."""
         if (passed := now - self.last_asked) >= 0:
             fade = math.exp(-passed / self.settings.cold)
             self.asked, self.asked_span = self.asked * fade + 1 / routes, self.asked_span * fade + passed
         self.last_asked = now
-        if self.crowd > 1 and self.asked and self.told_gap == NEVER:
-            interval = max(self.asked_span / self.asked, 1.0) / (1 - 1 / self.crowd)
-            self.step = min(GAP_STEP * self.crowd, TOLD_STEP * interval)
-            self.most_gap = min(RESET_TIMEOUT * self.crowd, TOLD_MOST * interval)
+        if self.many and self.asked and self.told_gap == NEVER:
+            interval = self.asked_span / self.asked
+            self.step = GAP_STEP / self.crowd + ASKED_STEP * interval * self.many
+            most = ASKED_MOST * interval / self.many
+            self.most_gap = max(RESET_TIMEOUT, min(RESET_TIMEOUT * self.crowd, most))
 
     def ready_at(self, now: int) -> float:
         """When the next call may go; NEVER while a trial's result decides it."""
@@ -163,7 +168,7 @@
         if (warm := (now - self.cold_since) / self.settings.cold) >= 1:
             return 0.0
         share = self.settings.cold_from + (1 - self.settings.cold_from) * max(warm, 0.0)
-        push = self.settings.fall_multiple * COLD_PUSH * share
+        push = self.settings.fall_multiple * (COLD_PUSH + self.many / 4) * share
         return min(min(self.span / self.calls, self.told_gap) / push, 2 * self.most_gap)
 
     def overdue_at(self, call: Call) -> float:
@@ -190,7 +195,7 @@
             self.doubt(now, max(FAILURE_THRESHOLD / self.crowd, 2), weight=1 / self.crowd)
             if self.cold_since == now:
                 self.shut_at = now
-            late = self.chance.uniform(0, 2 * self.gap) * (1 - 1 / self.crowd)  # told alike, back apart
+            late = self.chance.uniform(0, 2 * self.gap) * self.many  # told alike, back apart
             self.wait_until = max(self.wait_until, now) + math.ceil(late)
         if wait >= RESET_TIMEOUT:  # no limit tells so long a wait: it is shut, and opens cold
             self.cold_since, self.shut_at = max(self.cold_since, now + wait), now
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -119,7 +119,19 @@
     few.take()
     (breaker,) = few.dispatcher.breakers.values()
     assert (breaker.step, breaker.most_gap) == (GAP_STEP, RESET_TIMEOUT)
-    assert gaps[0][0] < gaps[1][0] and gaps[0][1] < gaps[1][1] < RESET_TIMEOUT * CROWD / GAP_SENDERS
+    assert RESET_TIMEOUT <= gaps[0][1] < gaps[1][1] < RESET_TIMEOUT * CROWD / GAP_SENDERS
+    # Narrower than the messages come, the first gap would change nothing.
+    assert SECOND // 10 < gaps[0][0] < SECOND < gaps[1][0] < 2 * SECOND
+
+
+def test_a_crowd_goes_back_to_a_cold_destination_below_what_topples_it() -> None:
+    """The warm-up starts with the first served call, later than the return, and from the least share told."""
+    for fleet in (2, CROWD):
+        world = World(fleet_size=fleet, fall_multiple=2.0, cold_from=0.2)
+        (breaker,) = [world.dispatcher.breaker_at(1, "")]
+        breaker.cold_since, breaker.calls, breaker.span = world.now, 10.0, 10.0 * SECOND
+        times = SECOND / breaker.cold_gap(world.now) / 0.2  # of the capacity that its usual rate shows
+        assert (times == 1.5) == (fleet == 2) and 1.5 <= times < 2.0
 
 
 def test_refusals_alone_start_no_warm_up_in_a_crowd() -> None:
