Read a watch's list that spans lines, as the check already did

Seen: each line of a watch was taken for a whole object (Discovery.read_lines, next_lines), so an indented list ended the watch at its first line, over and over. Ruled out: the check and the first list of a new address, which read the body whole.

--- a/elmglade/net/discovery.py
+++ b/elmglade/net/discovery.py
@@ -66,6 +66,41 @@
         )
 
 
+class Told:
+    """What a watch tells: JSON objects, each on a line or indented over several, with empty lines between."""
+
+    def __init__(self) -> None:
+        self.begun = self.line = b""  # of an object, in whole lines; of the line at hand
+        self.lives = False  # whether the newest bytes held an empty line between objects
+
+    def feed(self, data: bytes) -> list[dict[str, Any]]:
+        """The objects that are whole with these bytes. What can be the beginning of none raises."""
+        *lines, self.line = (self.line + data).split(b"\n")
+        self.lives, objects = False, []
+        for line in lines:
+            first, blank = not self.begun, not line.strip()
+            if first and blank:
+                self.lives = True
+                continue
+            self.begun += line + b"\n"
+            # Every object ends with a brace; tried at each line, a long one would be read again and again.
+            if (first or line.rstrip().endswith(b"}")) and (told := self.whole()) is not None:
+                objects.append(told)
+                self.begun = b""
+        if len(self.begun) + len(self.line) > LINE_LIMIT:
+            raise ValueError("a list is too long")
+        return objects
+
+    def whole(self) -> dict[str, Any] | None:
+        text = self.begun.decode().rstrip()
+        try:
+            return json.loads(text)
+        except json.JSONDecodeError as error:
+            if error.pos < len(text):
+                raise
+            return None  # all that is wrong with it is that it ends
+
+
 class Discovery:
     def __init__(
         self,
@@ -149,26 +184,21 @@
         return bytes(body)
 
     async def read_lines(self, connection: Connection, address: Address) -> None:
-        rest = b""
+        told = Told()
         while True:
-            async with asyncio.timeout(SILENCE):  # for lines, not for bytes
-                *lines, rest = await self.next_lines(connection, rest)
-            for line in lines:
+            async with asyncio.timeout(SILENCE):  # for what is whole, not for bytes
+                while not (objects := told.feed(await self.next_data(connection))) and not told.lives:
+                    pass
+            for each in objects:
                 if address != self.address and self.seq is not None:
                     return
-                if line.strip():
-                    self.read_change(Listed(json.loads(line)), address)
+                self.read_change(Listed(each), address)
 
-    async def next_lines(self, connection: Connection, rest: bytes) -> list[bytes]:
-        """What has come, at least one line of it; last, what is left over for the next one."""
-        while b"\n" not in rest:
-            event = await connection.next_event()
+    async def next_data(self, connection: Connection) -> bytes:
+        while not isinstance(event := await connection.next_event(), h11.Data):
             if isinstance(event, h11.EndOfMessage):
                 raise ConnectionError("discovery ended it")
-            rest += bytes(event.data) if isinstance(event, h11.Data) else b""
-            if len(rest) > LINE_LIMIT:
-                raise ValueError("a line is too long")
-        return rest.split(b"\n")
+        return bytes(event.data)
 
     def read_change(self, told: Listed, address: Address) -> None:
         if told.whole or address != self.address or self.seq is None or told.seq > self.seq:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -70,6 +70,42 @@
     play(test)(Path())
 
 
+@pytest.mark.parametrize("ends", ["\n", "\r\n"])
+def test_a_list_may_span_lines_of_the_watch(ends: str) -> None:
+    """Each line comes alone, so that every one of them has been the last for a while."""
+
+    async def test(_: Path) -> None:
+        async with watching() as (discovery, platform, heard, _answered):
+            watch = await soon(platform.watches.get())
+            told = json.loads(list_line(42, host(NEW, "one }"), host(NEW, "two")))
+            text = json.dumps(told, indent=2).replace("\n", ends) + ends
+            for line in [*text.splitlines(keepends=True), "\n"]:
+                watch.write(f"{len(line):x}\r\n{line}\r\n")
+                await watch.writer.drain()
+            told = await soon(heard.get())
+            assert [each.id for each in told.endpoints] == ["one }", "two"]
+            tell(watch, 43, host(NEW, "three"))
+            assert [each.id for each in (await soon(heard.get())).endpoints] == ["three"]
+            assert discovery.seq == 43
+
+    play(test)(Path())
+
+
+@pytest.mark.parametrize("text", ["{\n}}\n", '{"seq":42,"who\n', "{\n]\n}\n", "}\n", '{\n"seq": 4x,\n}\n'])
+def test_what_can_be_the_beginning_of_no_list_is_not_waited_on(text: str) -> None:
+    told = module.Told()
+    with pytest.raises(ValueError):
+        told.feed(text.encode())
+
+
+def test_a_list_that_is_begun_and_not_ended_does_not_keep_a_watch_alive() -> None:
+    told = module.Told()
+    assert told.feed(b'\n{\n"seq": 42,\n') == [] and told.lives
+    assert told.feed(b"\n\n") == [] and not told.lives
+    assert told.feed(b'"whole": false, "hosts": []\n}\n\n') == [{"seq": 42, "whole": False, "hosts": []}]
+    assert told.lives
+
+
 def test_a_silent_watch_is_dead_though_its_connection_stays(monkeypatch: pytest.MonkeyPatch) -> None:
     async def test(_: Path) -> None:
         async with watching() as (_discovery, platform, heard, _answered):
