Open a silent watch anew at once in any fleet, with a second request beside a lost one

At fault: Discovery.watch told the module of silence as of a refusal, whose pause (list_endpoints) is made for a busy discovery.

--- a/elmglade/net/discovery.py
+++ b/elmglade/net/discovery.py
@@ -20,6 +20,7 @@
     2.0  # s for the head of a watch after one that did not answer: one asked late is asked of less
 )
 MOST_PATIENCE = 10.0  # s for either in a large fleet, see below
+BESIDE = 2.0  # s for the head of a watch until another is asked for beside it: with SILENCE less than 6
 CHECK = 2.0  # s between looks at the whole list, which show a watch that lives but tells nothing
 FEW = 4  # senders up to which these hold; more look as often jointly, each more rarely, and wait longer
 CHECK_DOUBLINGS = 3  # of that time while discovery doesn't answer: it may be short of room for watches
@@ -30,9 +31,9 @@
 NOTICE_DOUBLINGS = 2  # for another within the 300 ms that a notice has; and for new ones behind a late one
 NOTICE_PAUSE = 0.05  # s between tries
 NOTICES_AT_ONCE = 100
-MOVE_PAUSE = (
-    0.2  # s between tries to hear a new address's list: what it tells counts as told 4 s after SIGHUP
-)
+# s, at the most, between tries to hear a new address's list, which counts as told 4 s after SIGHUP, and where
+# nobody listens: what discovery has at its return counts at once.
+MOVE_PAUSE = 0.2
 LOGGED = 32  # endpoints of a list that its log line names; lists are bounded by LINE_LIMIT alone
 UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, ArithmeticError, RecursionError)
 
@@ -44,6 +45,11 @@
         raise ConnectionError(f"discovery answered {status}")
 
 
+def close_unused(task: asyncio.Task[Connection]) -> None:
+    if not task.cancelled() and not task.exception():
+        task.result().close()
+
+
 class Listed:
     """One line of discovery: a version and the endpoints in it."""
 
@@ -131,33 +137,63 @@
         self.address, self.seq, self.patience = address, None, self.first_patience
 
     async def watch(self) -> None:
-        """One watch, to its end. However it ends, the module is told and decides when to ask again; but the
-        first list of a new address is asked for until it comes: nobody else tells of a drain meanwhile."""
-        address = self.address
+        """A watch, opened anew at once where it falls silent, nobody listens, or it had lived for a while:
+        what it misses counts as told. Any other end is an answer: the module is told of it and decides when
+        to ask again. But the first list of a new address is asked for until it comes: nobody else tells of
+        a drain meanwhile."""
+        address, loop = self.address, asyncio.get_running_loop()
         log.info("a watch begins at %s:%d after %s", *address, self.seq)
         while True:
+            lived = 0.0
             try:
-                await self.watch_once(address)
-            except BROKEN as error:
-                log.warning("the watch ended: %s", str(error) or type(error).__name__)
-            except UNREADABLE as error:
-                log.warning("the watch told what cannot be read: %r", error)
+                connection = await self.opened(address)
+                began = loop.time()
+                try:
+                    await self.read_lines(connection, address)
+                finally:
+                    connection.close()
+                    lived = loop.time() - began
+            except (*BROKEN, *UNREADABLE) as error:
+                log.warning("the watch ended: %r", error)
+                silent, refused = (isinstance(error, each) for each in (TimeoutError, ConnectionRefusedError))
+            else:
+                return  # another address has told its list
             if address != self.address:
                 return
-            if self.seq is not None:
+            if self.seq is None or refused:
+                await asyncio.sleep(MOVE_PAUSE * random.uniform(0.5, 1))
+            elif not silent and lived < SILENCE:
                 break
-            await asyncio.sleep(MOVE_PAUSE)
         self.listed(face.EndpointsListed(face.Listing.FAILED))
 
-    async def watch_once(self, address: Address) -> None:
-        """Returns once another address has told its list; any other end raises."""
+    async def opened(self, address: Address) -> Connection:
+        """A watch whose head has come. Where discovery is busy, whoever gives up early goes to the end of the
+        queue; but a request may also have died with its connection, unseen: a second one goes beside it."""
+        asked = left = {asyncio.create_task(self.open_watch(address))}
+        try:
+            await asyncio.wait(asked, timeout=BESIDE)
+            if not any(task.done() for task in asked):
+                asked = left = asked | {asyncio.create_task(self.open_watch(address))}
+            while left:
+                done, left = await asyncio.wait(left, return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    if not (failed := task.exception()):
+                        asked = asked - {task}
+                        return task.result()
+            raise failed
+        finally:
+            for task in asked:
+                task.cancel()
+                task.add_done_callback(close_unused)
+
+    async def open_watch(self, address: Address) -> Connection:
         async with asyncio.timeout(CONNECT_TIMEOUT):
             connection = await Connection.open(address)
         try:
             if self.seq is None:
                 whole = await self.ask(connection, "/registry/instances")
                 if address != self.address:
-                    return
+                    raise ConnectionError("discovery has moved")
                 self.read(Listed(json.loads(whole)))
                 if not connection.next_cycle():
                     connection.close()
@@ -168,9 +204,10 @@
             async with asyncio.timeout(patience):
                 await expect_ok(connection)
             self.patience = self.first_patience
-            await self.read_lines(connection, address)
-        finally:
+        except BaseException:
             connection.close()
+            raise
+        return connection
 
     async def ask(self, connection: Connection, target: str) -> bytes:
         await connection.send("GET", target, {})
