Send nothing by an old list before the agent's is heard, for 1 s at a start

Ruled out: the watch alone as a sign (it is silent where nothing has changed). At fault: Sender.start, which posted the known list and took a turn; Dispatcher.may_call. Two tests on real sockets, both seen to fail without the mend. Three tests now say what the platform answers to the call for the whole list at a start.

--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -42,8 +42,11 @@
             disk_bytes=int(limits["disk_mb"] * MEGABYTE),
             sockets=int(limits["sockets"]),
             known=Listed(told["known"]),
-            # On sockets a list is heard only by asking for it, whatever the simulator does at this site.
-            settings=replace(settings_from(told["settings"], ends_answered=True), must_ask=True),
+            # On sockets a list is heard only by asking for it, whatever the simulator does at this site, and
+            # what the agent on this machine holds binds all the same.
+            settings=replace(
+                settings_from(told["settings"], ends_answered=True), must_ask=True, told_unheard=True
+            ),
         )
     except KeyError as error:
         raise BadConfig(f"{error.args[0]} is missing or unknown") from None
--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -91,6 +91,7 @@
     halves: bool = False  # late worth falls by half with each further aim, else evenly
     zone_fees: tuple[tuple[str, float], ...] = ()  # zone, worth lost per message on a route apart there
     must_ask: bool = False  # the list of endpoints comes only when asked for
+    told_unheard: bool = False  # what discovery holds counts as told from the start, heard or not
     ask_within: int = 10_000_000
     rates_told: bool = False  # Endpoint.scale is the rate in calls a second that its destination takes
     may_cancel: bool = True
--- a/elmglade/net/discovery.py
+++ b/elmglade/net/discovery.py
@@ -125,6 +125,7 @@
         self.next_patience = min(WATCH_PATIENCE * many, MOST_PATIENCE)
         #: The version held; none when it is another service's, whose versions mean nothing to this one.
         self.seq: int | None = known.seq
+        self.unheard = False  # whether this process goes by a list that it has from elsewhere
         self.dials, self.hosts = dict(known.dials), dict(known.hosts)
         self.destinations = {each.destination for each in known.endpoints}  # all that a list ever named
         self.patience = self.first_patience  # s for the head of the next watch
@@ -190,7 +191,8 @@
         async with asyncio.timeout(CONNECT_TIMEOUT):
             connection = await Connection.open(address)
         try:
-            if self.seq is None:
+            # A watch from a version that is still the newest says nothing, as does one that will never speak.
+            if self.seq is None or self.unheard:
                 whole = await self.ask(connection, "/registry/instances")
                 if address != self.address:
                     raise ConnectionError("discovery has moved")
@@ -282,7 +284,7 @@
         self.hosts = {name: each for name, each in (self.hosts | told.hosts).items() if name in self.dials}
         self.destinations |= {each.destination for each in told.endpoints}
         if address in (None, self.address):  # else it is a line of the address before
-            self.seq = told.seq
+            self.seq, self.unheard = told.seq, False
         named = (f"{each.id} {each.state.value} at {each.destination}" for each in told.endpoints[:LOGGED])
         log.info("list %d, %s: %s", told.seq, "whole" if told.whole else "changes", ", ".join(named))
         listing = face.Listing.FULL if told.whole else face.Listing.CHANGES
--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -107,9 +107,12 @@
         self.loop.set_exception_handler(lambda _, context: self.loop_failed(context))
         self.loop.add_signal_handler(signal.SIGTERM, self.terminate)
         self.loop.add_signal_handler(signal.SIGINT, self.terminate)
-        if self.estate.state:
+        listing = face.Listing.CACHED
+        if self.estate.state:  # its list was heard until a moment ago
             self.discovery.recall(self.estate.state["discovery"])
-        self.post(face.EndpointsListed(face.Listing.CACHED, self.discovery.endpoints()))
+            listing = face.Listing.FULL
+        self.discovery.unheard = listing is face.Listing.CACHED
+        self.post(face.EndpointsListed(listing, self.discovery.endpoints()))
         self.take_over()
         log.info("%s: settings %s", self.config.name, self.settings)
         log.info("%s: %d messages taken over from the journal", self.config.name, len(self.journal.entries))
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -24,6 +24,7 @@
 ASKED_STEP = 1.25  # of the time between a crowd's messages to a destination: its first gap there
 ASKED_MOST = 6  # times that: its longest
 WAIT_SLACK = 100_000  # us, at the most, that a crowd adds to a told wait; calls up to 80 ms early were seen
+LIST_PATIENCE = 1_000_000  # us, at the start, for a list from an agent that answers at once or is silent
 GAP_SENDERS = 4  # senders up to which the gap ends at the reset timeout; more share a limit more thinly
 ASKING = 4  # senders up to which a discovery that failed is asked again soon; more ask more rarely
 GAP_SHRINK = 0.08  # share of the gap that a served call takes off: a refusal may cost a wait of ten calls
@@ -290,6 +291,7 @@
         self.now, self.wake_at, self.count = -NEVER, NEVER, itertools.count()
         self.stops_at, self.aged = NEVER, -NEVER
         self.subscribe_at, self.subscribe_tries = (-NEVER if settings.must_ask else NEVER), 0
+        self.unheard_until = -NEVER  # a list that may be old is not gone by before
         self.actions: list[face.Action] = []
 
     def handle(self, now_us: int, events: Iterable[face.Event]) -> list[face.Action]:
@@ -554,6 +556,9 @@
             span *= max(self.settings.fleet_size / ASKING, 1) ** 0.5
             self.subscribe_at = self.now + span * self.random.uniform(0.5, 1)
             return
+        # Rule: drains. What is silent learns nothing either: then the list heard last is what it holds.
+        waits = listed.listing is Listing.CACHED and self.settings.told_unheard
+        self.unheard_until = self.now + LIST_PATIENCE if waits else -NEVER
         self.subscribe_tries, known = 0, self.endpoints
         self.endpoints = dict(known) if listed.listing is Listing.CHANGES else {}
         for each in listed.endpoints:
@@ -778,6 +783,8 @@
     def may_call(self, breaker: Breaker) -> bool:
         if len(self.out) >= self.settings.slots or breaker.ready_at(self.now) > self.now:
             return False
+        if self.now < self.unheard_until:
+            return False
         if self.now + breaker.patience() > self.stops_at:
             return False  # it might be out when the process ends, and then may have run
         return breaker.out < max(2, self.settings.slots * DESTINATION_SLOTS)
@@ -820,7 +827,8 @@
         if self.subscribe_at <= self.now:
             self.subscribe_at = NEVER
             self.actions.append(face.Subscribe())
-        due = [self.subscribe_at, *(each[0] - self.settings.tick for each in self.deadlines[:1])]
+        due = [self.subscribe_at, self.unheard_until]
+        due += [each[0] - self.settings.tick for each in self.deadlines[:1]]
         due += [each[0] for each in self.quiet[:1]]
         due += [call.breaker.overdue_at(call) for call in self.out if not call.overdue]
         due += [self.ready_at(destination) for destination, held in self.waiting.items() if held]
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -111,8 +111,12 @@
         super().__init__()
         self.watches: asyncio.Queue[Request] = asyncio.Queue()
         self.lists: asyncio.Queue[Request] = asyncio.Queue()
+        self.listing = ""  # what it answers with to calls for the whole list, by itself
 
     def came(self, request: Request) -> None:
+        if self.listing and request.target == "/registry/instances":
+            request.answer(200, body=self.listing)
+            return
         if "watch" not in request.target:
             (self.lists if request.target == "/registry/instances" else self.requests).put_nowait(request)
             return
@@ -135,6 +139,7 @@
 
 
 def config_json(platform: Platform, *hosts: dict[str, Any], **kind: object) -> dict[str, Any]:
+    platform.listing = list_line(41, *hosts, whole=True)
     settings = ENV | {"services": [CLASS | kind]}
     settings["safety"] = ENV["safety"] | {"key_quiet": 1000}
     return {
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -126,6 +126,7 @@
             while b"is not used" not in await soon(process.stderr.readline()):
                 assert process.returncode is None
             (tmp_path / "config.json").write_text(json.dumps(config_json(new, host(receiver.dial))))
+            new.listing = ""
             process.send_signal(signal.SIGHUP)
             assert (await soon(new.lists.get())).target == "/registry/instances"
             assert (await ask(address, message("m1"))).status == 202
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -6,7 +6,22 @@
 from pathlib import Path
 
 import pytest
-from peers import KEYED, PATIENCE, READY, Running, World, ask, host, message, play, read_reply, soon, tell
+from peers import (
+    KEYED,
+    PATIENCE,
+    READY,
+    Peer,
+    Running,
+    World,
+    ask,
+    host,
+    list_line,
+    message,
+    play,
+    read_reply,
+    soon,
+    tell,
+)
 
 from elmglade.__main__ import config_from
 from elmglade.interface import Outcome
@@ -214,8 +229,9 @@
         async with Running(world.told, state) as again:
             assert list(again.sender.dispatcher.messages) == ["m1", "m2"]
             restored = again.sender.dispatcher.messages["m1"]
-            assert restored.attempts == 2 and restored.risky_zone == "z" and restored.risky_since is not None
+            assert restored.attempts == 1 and restored.risky_zone == "z" and restored.risky_since is not None
             request = await world.receiver.next()
+            assert restored.attempts == 2
             assert (request.id, request.body) == ("m1", first.body) and world.receiver.requests.empty()
             assert request.headers["idempotency-key"] == "key of m1"
             request.answer(200)
@@ -224,6 +240,43 @@
             assert float(second.headers["x-time-left"]) < 8
 
 
+@play
+async def test_nothing_goes_by_an_old_list_before_the_agent_s_is_heard(state: Path) -> None:
+    """What the agent holds counts as told from a process's first moment. The list comes once all that the
+    sender does before it has been done."""
+    async with World(state) as world, Peer() as other:
+        await world.hand_in("m1")
+        (await world.receiver.next()).break_off()
+        world.sender.stop(0)
+        await world.running.task
+        world.platform.listing = ""
+        async with Running(world.told, state) as again:
+            request = await soon(world.platform.lists.get())
+            assert (await again.hand_in("m2")).status == 202
+            assert world.receiver.requests.empty() and other.requests.empty()
+            gone = host(world.receiver.dial, health="draining")
+            request.answer(200, body=list_line(43, gone, host(other.dial, "other"), whole=True))
+            assert {(await other.next()).id, (await other.next()).id} == {"m1", "m2"}
+            assert world.receiver.requests.empty()
+            assert (await soon(world.platform.watches.get())).target.endswith(
+                "after=41"
+            )  # of the start before
+            assert (await soon(world.platform.watches.get())).target.endswith("after=43")
+
+
+@play
+async def test_a_silent_agent_keeps_messages_only_for_a_while(state: Path) -> None:
+    async with World(state) as world:
+        await world.hand_in("m1")
+        (await world.receiver.next()).break_off()
+        world.sender.stop(0)
+        await world.running.task
+        world.platform.listing = ""
+        async with Running(world.told, state):
+            assert (await world.receiver.next()).id == "m1"
+            assert world.platform.lists.qsize() >= 1
+
+
 @play
 async def test_a_once_only_message_that_was_out_is_ended_as_failed_after_a_restart(state: Path) -> None:
     async with World(state, semantics="once") as world:
