Keep what is taken on and has not run for 0.7 of its time, in a full room too

At fault: Dispatcher.keep_room. A test that asked for the oldest to be given up at once is replaced: the terms now forbid that.

--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -33,6 +33,7 @@
 MEMORY = 0.125  # weight of the newest call in that share and in the usual time; as TCP smooths round trips
 OVERDUE_SPREADS = 4  # mean deviations above the usual time from which a call is overdue; TCP's time-out rule
 DESTINATION_SLOTS = 0.5  # share of the slots that calls to one destination may hold
+KEPT_SHARE = 0.7  # rule: of the time of a message that surely has not run, in which it is not given up
 PASSED_OVER = 0.9  # guessed chance that a message passed over now is still served one aim later
 # May still be running:
 UNSETTLED = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.STALE, Outcome.SPOILT, Outcome.CANCELLED})
@@ -68,6 +69,7 @@
         self.id, self.kind, self.destination = taken.message, kind, taken.destination
         self.key = taken.key if kind.in_order else ""
         self.until, self.born = now + taken.time_left, now + taken.time_left - kind.deadline
+        self.keep_until = now + KEPT_SHARE * taken.time_left
         self.share = share  # 1, or what is left of its worth over its tenant's share
         self.attempts, self.out, self.ended = 0, False, False
         self.risky_since: int | None = None  # sending of the first attempt that may have run
@@ -279,6 +281,7 @@
         self.breakers_at: dict[int, list[Breaker]] = {}  # of the endpoints that are listed
         self.batches = any(kind.batch > 1 for _, kind in settings.kinds)
         self.messages: dict[str, Message] = {}
+        self.arriving: set[str] = set()  # came in this turn
         self.waiting: dict[int, dict[str, Message]] = {}
         self.unanswered: dict[str, Message] = {}  # ended, but not over yet
         self.keys: dict[str, KeyLine] = {}
@@ -297,7 +300,7 @@
     def handle(self, now_us: int, events: Iterable[face.Event]) -> list[face.Action]:
         if now_us < self.now:
             raise ValueError(f"the clock went back from {self.now} to {now_us}")
-        self.now, self.actions = now_us, []
+        self.now, self.actions, self.arriving = now_us, [], set()
         for event in events:
             match event:
                 case face.MessageTaken():
@@ -334,6 +337,7 @@
         share = self.within_share(taken.tenant)
         message = Message(taken, self.classes[taken.message_class], self.now, share)
         self.messages[message.id] = message
+        self.arriving.add(message.id)
         routes = self.breakers_at.get(message.destination, ())
         for breaker in routes:
             breaker.asked_for(self.now, len(routes))
@@ -348,6 +352,7 @@
         message = self.messages[kept.taken.message]
         message.attempts, message.risky_since = kept.attempts, kept.risky_since
         message.risky_zone = kept.risky_zone
+        self.arriving.discard(message.id)  # taken on before; how much time was left then is not known
         self.rest(message.key)
         self.watch_window(message)
         if kept.held and not self.may_send_again(message):
@@ -689,10 +694,16 @@
         held = []
         for destination, line in self.waiting.items():
             ready_at = self.ready_at(destination)
-            held += [(self.prospect(x, ready_at), len(held), x) for x in line.values() if self.may_refuse(x)]
+            held += [(self.prospect(x, ready_at), len(held), x) for x in line.values() if self.may_go(x)]
         for _, _, message in heapq.nsmallest(excess, held, key=lambda each: each[0]):
             self.end(message)
 
+    def may_go(self, message: Message) -> bool:
+        """Rule: what has been taken on and surely has not run is kept for most of its time; one that came in
+        this turn is not taken on yet."""
+        due = message.id in self.arriving or message.keep_until <= self.now
+        return self.may_refuse(message) and (due or message.risky_since is not None)
+
     def most_held(self, count: int) -> list[str]:
         """For the status line: the destinations that hold most, and what keeps their next call back."""
         held = heapq.nlargest(count, ((len(line), name) for name, line in self.waiting.items() if line))
