Answer what has been read, or has come, as the listener and the process end

Seen by reading, forced by tests: Sender.run returned in the turn of stop(), before the turn that answers what was read in it; Server.close ended idle connections over unread requests and clients that waited to be taken; the same request on two connections in one turn was refused on the second.

--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -9,7 +9,7 @@
 import signal
 import socket
 from collections import Counter
-from collections.abc import Container, Coroutine
+from collections.abc import Container, Coroutine, Iterable
 from dataclasses import replace
 from functools import partial
 from typing import Any
@@ -90,7 +90,8 @@
             self.figures.forwarded,
         )
         self.inbox: list[face.Event] = []
-        self.arrived: dict[str, tuple[HandedIn, Connection]] = {}  # in the inbox, not answered yet
+        # In the inbox, not answered yet; one that crossed the end of its connection may come on two.
+        self.arrived: dict[str, tuple[HandedIn, list[Connection]]] = {}
         self.calls: dict[tuple[str, int], asyncio.Task[Answer]] = {}
         self.ended: dict[str, str] = {}  # messages that are over: id and content, oldest first, OVER at most
         self.watching: asyncio.Task[None] | None = None
@@ -132,8 +133,10 @@
     async def run(self) -> int:
         """Serves until it is told to stop; the answer is the exit code."""
         code = await self.stopped
+        if code == 0 and not self.over:
+            self.last_turn()
         self.over = True  # calls still out have no outcome in the journal: the next start reads a reset
-        self.server.close()
+        self.server.end()
         for task in [*self.calls.values(), *self.tasks]:
             task.cancel()
         self.client.close()
@@ -143,6 +146,12 @@
         self.estate.close()
         return code
 
+    def last_turn(self) -> None:
+        """No request that was read goes unanswered: what has come by now is taken on, for the next start."""
+        self.post(face.Stopping(0))
+        self.server.read_last()
+        self.turn()
+
     def take_over(self) -> None:
         """What the journal holds, and what a process before still had out."""
         estate = self.estate
@@ -257,7 +266,7 @@
         self.stop_if_done()
 
     def stop_if_done(self) -> None:
-        if self.server.stopping and not (self.server.listener or self.calls or self.journal.entries):
+        if self.server.stopping and self.server.is_done() and not (self.calls or self.journal.entries):
             self.stop(0)
 
     def stop(self, code: int) -> None:
@@ -292,6 +301,7 @@
             await asyncio.sleep(SWEEP)
             self.server.expire()
             self.client.drop_old()
+            self.stop_if_done()
 
     async def report(self) -> None:
         while True:
@@ -364,7 +374,9 @@
         known = self.known_as(message.id)
         if known == content(message):
             connection.answer(202)  # the same hand-in once more: it is already ours, or was
-        elif known is not None or message.id in self.arrived:
+        elif (arrived := self.arrived.get(message.id)) and content(arrived[0]) == content(message):
+            arrived[1].append(connection)
+        elif known is not None or arrived:
             # Guards a client whose id another one has used: 202 would take nothing of it on, and the order
             # of its key would not wait for it. It may come again, under a new id.
             log.warning("the id %s is another message's", message.id)
@@ -373,7 +385,7 @@
             self.counts["turned away"] += 1
             self.turn_away(message, connection)
         else:
-            self.arrived[message.id] = message, connection
+            self.arrived[message.id] = message, [connection]
             self.post(self.taken(message))
 
     def has_room(self) -> bool:
@@ -442,34 +454,40 @@
         if self.over:
             return
         arrived, self.arrived = self.arrived, {}
-        withdrawn = {name for name, (_, connection) in arrived.items() if connection.gone()}
+        withdrawn = {name for name, (_, clients) in arrived.items() if all(x.gone() for x in clients)}
         events, self.inbox = self.inbox, []
         for name in withdrawn:
             events = [each for each in events if not is_taking(each, name)]
         actions = self.dispatcher.handle(self.now(), events)
         refused = {each.message: each for each in actions if isinstance(each, face.Refuse | face.Fail)}
         untaken = set()
-        for name, (message, connection) in arrived.items():
+        for name, (message, clients) in arrived.items():
             if name in withdrawn:
-                connection.transport.close()
+                for connection in clients:
+                    connection.transport.close()
             elif name in refused:
-                self.refuse(refused[name], message, connection)
+                self.refuse(refused[name], message, clients)
                 untaken.add(name)
             elif self.journal.taken(message):
                 self.counts["taken on"] += 1
-                connection.answer(202)
+                for connection in clients:
+                    connection.answer(202)
             else:
-                self.turn_away(message, connection)
+                for connection in clients:
+                    self.turn_away(message, connection)
                 untaken.add(name)
                 self.post(face.MessageWithdrawn(name))
         for action in actions:
             self.act(action, untaken)
 
-    def refuse(self, action: face.Refuse | face.Fail, message: HandedIn, connection: Connection) -> None:
+    def refuse(
+        self, action: face.Refuse | face.Fail, message: HandedIn, clients: Iterable[Connection]
+    ) -> None:
         """The final answer of a message that was never taken on. Nothing of it has run."""
         after = action.retry_after if isinstance(action, face.Refuse) else self.dispatcher.come_again()
         self.figures.ended(message.message_class, End.DECLINED)
-        connection.answer(429, after)
+        for connection in clients:
+            connection.answer(429, after)
         self.post(face.EndAnswered(action.message))
 
     def act(self, action: face.Action, untaken: set[str]) -> None:
--- a/elmglade/net/server.py
+++ b/elmglade/net/server.py
@@ -267,6 +267,15 @@
             self.transport.write_eof()
             self.transport.resume_reading()
 
+    def read_rest(self) -> None:
+        if self.transport and not (self.answering or self.discarding or self.transport.is_closing()):
+            try:
+                size = self.sock.recv_into(self.server.buffer)
+            except OSError:
+                return
+            if size:
+                self.buffer_updated(size)
+
     def has_unread(self, events: int = select.POLLIN) -> bool:
         poll = select.poll()
         poll.register(self.sock.fileno(), events)
@@ -319,7 +328,7 @@
             if passed > READ_LIMIT:
                 self.close()
         elif self.began is None:
-            if passed > IDLE_LIMIT:
+            if passed > IDLE_LIMIT and not self.has_unread():
                 self.transport.close()
         elif not self.answering and passed > READ_LIMIT:
             self.refuse(408, "the request did not come in time")
@@ -409,15 +418,16 @@
         self.longest_unread = max(self.longest_unread, waited)
         return int(waited * 1e6)
 
-    def accept(self) -> None:
+    def accept(self) -> bool:
+        """Whether more may wait to be taken."""
         for _ in range(self.accepts):
             if self.listener is None:
-                return
+                return False
             try:
                 sock = self.listener.accept()[0]
             except (BlockingIOError, InterruptedError):
                 self.queued_since = None
-                return
+                return False
             except OSError as error:
                 if error.errno not in NO_DESCRIPTOR:
                     continue  # it broke before it was taken
@@ -425,7 +435,7 @@
                 self.make_room()
                 self.loop.remove_reader(self.listener)
                 self.loop.call_later(ACCEPT_PAUSE, self.accept_again)
-                return
+                return False
             self.accepted += 1
             if len(self.connections) >= self.most:
                 self.make_room()
@@ -437,6 +447,7 @@
             self.silent[connection] = None
             self.take_in(connection)
         self.queued_since = self.turn_now()[1]
+        return True
 
     def take_in(self, connection: Connection) -> None:
         self.connections.add(connection)
@@ -509,10 +520,34 @@
         self.ready, self.stopping = False, True
 
     def close(self) -> None:
-        """No new connections; those between requests end. A client whose request crosses that sends again."""
+        """No new connections; those between requests end. A request that has come is answered all the same,
+        and so are clients that wait to be taken or have just been: they could not know. One whose request is
+        still under way to a connection that ends sends again."""
         if self.listener:
+            while self.accept():
+                pass
             self.loop.remove_reader(self.listener)
             self.listener.close()
             self.listener = None
-        for connection in [*self.idle, *self.strangers, *self.silent]:
+        for connection in [*self.idle, *self.strangers]:
+            if not connection.has_unread():
+                connection.close()
+
+    def is_done(self) -> bool:
+        """Whether nobody is left who may be owed an answer."""
+        return self.listener is None and all(each.discarding for each in self.connections)
+
+    def read_last(self) -> None:
+        """Before the process ends: what has come is read and acted on in this turn, as there is no other."""
+        for connection in list(self.connections):
+            connection.read_rest()
+        for waiting in self.to_read:
+            while waiting:
+                connection = waiting.popleft()
+                connection.queued = False
+                connection.advance()
+
+    def end(self) -> None:
+        self.close()
+        for connection in list(self.connections):
             connection.close()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -74,7 +74,8 @@
     state = tmp_path / "state"
     state.mkdir()
     async with Platform() as platform, running(config_json(platform), state) as (process, _):
-        process.send_signal(signal.SIGTERM)
+        for each in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            process.send_signal(each)
         assert await soon(process.wait()) == 0
 
 
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import json
+import socket
 from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 from peers import (
@@ -114,7 +116,7 @@
         writer.write(message("m1"))
         while not world.sender.arrived:
             await asyncio.sleep(0.001)
-        connection = world.sender.arrived["m1"][1]
+        (connection,) = world.sender.arrived["m1"][1]
         connection.transport.pause_reading()
         writer.close()
         await writer.wait_closed()
@@ -329,6 +331,75 @@
         assert journalled(state) == []
 
 
+@play
+async def test_a_request_read_as_the_process_ends_is_taken_on_and_answered(state: Path) -> None:
+    """The end comes as the last byte is read, before the turn that answers."""
+    async with World(state) as world:
+        take = world.sender.take
+
+        def end_and_take(*told: Any) -> None:  # noqa: ANN401
+            world.sender.stop(0)
+            take(*told)
+
+        world.sender.server.take = end_and_take
+        assert (await world.hand_in("m1")).status == 202
+        assert await soon(world.running.task) == 0
+        assert journalled(state) == ["m1"] and world.receiver.requests.empty()
+
+
+@play
+async def test_a_request_that_has_come_as_the_process_ends_is_taken_on_and_answered(state: Path) -> None:
+    async with World(state) as world:
+        reader, writer = await asyncio.open_connection(*world.running.address)
+        writer.write(READY)
+        assert (await read_reply(reader)).status == 200
+        writer.write(message("m1"))  # goes at once: it is there before the loop polls again
+        world.sender.stop(0)
+        reply = await read_reply(reader)
+        assert reply.status == 202
+        assert await soon(world.running.task) == 0
+        assert journalled(state) == ["m1"] and world.receiver.requests.empty()
+
+
+@play
+async def test_clients_that_have_come_as_the_listener_closes_are_answered(state: Path) -> None:
+    """One has connected and asked, one only connected, one asks on a connection of before: all unread."""
+    async with World(state) as world:
+        old = await asyncio.open_connection(*world.running.address)
+        old[1].write(message("m1", **GONE))
+        assert (await read_reply(old[0])).status == 202
+        asked, silent = (socket.create_connection(world.running.address) for _ in "ab")
+        asked.sendall(message("m2", **GONE))
+        old[1].write(message("m3", **GONE))
+        world.sender.terminate()
+        world.sender.stop_listening()
+        fresh = await asyncio.open_connection(sock=silent)
+        fresh[1].write(message("m4", **GONE))
+        for reader, writer in (old, await asyncio.open_connection(sock=asked), fresh):
+            reply = await read_reply(reader)
+            assert (reply.status, reply.headers["connection"]) == (202, "close")
+            writer.close()
+        assert sorted(journalled(state)) == ["m1", "m2", "m3", "m4"]
+
+
+@play
+async def test_a_message_that_comes_on_two_connections_in_one_turn_is_taken_on_once(state: Path) -> None:
+    async with World(state) as world:
+        clients = [await asyncio.open_connection(*world.running.address) for _ in "ab"]
+        turn, world.sender.turn = world.sender.turn, lambda: None  # the loop is late
+        for _, writer in clients:
+            writer.write(message("m1"))
+        while not any(len(told[1]) == 2 for told in world.sender.arrived.values()):
+            await asyncio.sleep(0.001)
+        world.sender.turn = turn
+        turn()
+        assert [(await read_reply(reader)).status for reader, _ in clients] == [202, 202]
+        (await world.receiver.next()).answer(200)
+        assert world.receiver.requests.empty()
+        for _, writer in clients:
+            writer.close()
+
+
 @play
 async def test_a_stopping_sender_starts_no_call_that_may_not_end(state: Path) -> None:
     async with World(state) as world:
