Ask again for an endpoint's destination as a call's first byte goes

Found by reading: a list may give an endpoint another block while a call's connection comes up (1 s at the most); may_still_go looked at drains and waits alone. The test fails without the mend (the argument and the answer are new).

--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -530,7 +530,7 @@
             endpoint,
             message,
             action.timeout / 1e6,
-            lambda: self.dispatcher.may_still_go(endpoint, self.now()),
+            lambda: self.dispatcher.may_still_go(endpoint, message.destination, self.now()),
             message.message_class in self.once,
         )
         self.watch_call(name, number, call)
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -766,10 +766,12 @@
         if known := self.endpoints.get(endpoint):
             known.breaker.told_wait(until)
 
-    def may_still_go(self, endpoint: str, now: int) -> bool:
-        """Rules: drains and waits, asked again as a call's first byte goes: its connection took a while."""
-        known = self.endpoints.get(endpoint)
-        return known is not None and known.breaker.wait_until <= now
+    def may_still_go(self, endpoint: str, destination: int, now: int) -> bool:
+        """Rules: drains and waits, asked again as a call's first byte goes: its connection took a while. An
+        endpoint may have come to serve another destination meanwhile."""
+        if (known := self.endpoints.get(endpoint)) is None or known.listed.destination != destination:
+            return False
+        return known.breaker.wait_until <= now
 
     def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
         options = []
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -59,8 +59,8 @@
     for fleet, least in ((2, 0), (CROWD, 80 * MS)):
         world = World(fleet_size=fleet)
         world.dispatcher.wait_told("a", world.now + SECOND)
-        assert not world.dispatcher.may_still_go("a", world.now + SECOND + least - 1)
-        assert world.dispatcher.may_still_go("a", world.now + SECOND + 100 * MS)
+        assert not world.dispatcher.may_still_go("a", 1, world.now + SECOND + least - 1)
+        assert world.dispatcher.may_still_go("a", 1, world.now + SECOND + 100 * MS)
         (breaker,) = world.dispatcher.breakers.values()
         assert breaker.wait_until == SECOND or fleet == CROWD
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -300,12 +300,12 @@
     world = World(endpoint("a"), endpoint("b", destination=2))
     world.take()
     world.take()
-    assert world.dispatcher.may_still_go("a", world.now)
+    assert world.dispatcher.may_still_go("a", 1, world.now)
     world.answer("m1", Outcome.FULL, wait=SECOND)
-    assert not world.dispatcher.may_still_go("a", world.now + SECOND - 1)
-    assert world.dispatcher.may_still_go("a", world.now + SECOND)
+    assert not world.dispatcher.may_still_go("a", 1, world.now + SECOND - 1)
+    assert world.dispatcher.may_still_go("a", 1, world.now + SECOND)
     world.step(face.EndpointsListed(face.Listing.CHANGES, (endpoint("b", state=face.EndpointState.GONE),)))
-    assert not world.dispatcher.may_still_go("b", world.now)
+    assert not world.dispatcher.may_still_go("b", 1, world.now)
 
 
 def test_what_is_past_ages_out_but_not_a_wait_that_lasts() -> None:
@@ -361,7 +361,7 @@
 def test_a_told_wait_binds_calls_about_to_go_before_its_events_are_handled() -> None:
     world = World()
     world.dispatcher.wait_told("a", world.now + SECOND)
-    assert not world.dispatcher.may_still_go("a", world.now) and sent(world.take()) == []
+    assert not world.dispatcher.may_still_go("a", 1, world.now) and sent(world.take()) == []
     assert sent(world.step(face.WakeUp(), after=SECOND)) == ["m1"]
 
 
@@ -402,3 +402,12 @@
     crowded = next(name for name in ("m3", "m2") if at[name] == first)
     (again,) = [each for each in world.answer(crowded, Outcome.CROWDED) if isinstance(each, face.Send)]
     assert again.endpoint != first
+
+
+def test_a_call_does_not_go_to_an_endpoint_that_has_come_to_serve_another_destination() -> None:
+    """While its connection came up."""
+    world = World()
+    assert sent(world.take()) == ["m1"] and world.dispatcher.may_still_go("a", 1, world.now)
+    world.step(face.EndpointsListed(face.Listing.CHANGES, (endpoint("a", 2),)))
+    assert not world.dispatcher.may_still_go("a", 1, world.now)
+    assert world.dispatcher.may_still_go("a", 2, world.now)
