Start without the settings that a deployment may leave out

Tenants ('sites may lack them'), batches, own limits, weights, the longest wait for clients and the figure of asked discovery ended the start with 'missing or unknown'; each keeps its default now. The test fails without the mend (KeyError).

--- a/elmglade/settings.py
+++ b/elmglade/settings.py
@@ -10,7 +10,7 @@
 def settings_from(info: dict[str, Any], ends_answered: bool = False) -> face.Settings:
     """The named values of `info`; `ends_answered` says that this sender tells of each answered notice."""
     limits, safety, special = info["limits"], info["safety"], info["specifics"]
-    zones = info["zones"]
+    zones, models = info["zones"], info["models"]
     classes = tuple(
         face.MessageClass(
             name=each["name"],
@@ -28,7 +28,10 @@
     kinds = tuple(
         (name, face.Kind(batch=batch, apart=apart))
         for name, batch, apart in zip(
-            info["models"], special["batch_by_kind"], special["own_limits"], strict=False
+            models,
+            special.get("batch_by_kind") or [1] * len(models),
+            special.get("own_limits") or [False] * len(models),
+            strict=False,
         )
     )
     return face.Settings(
@@ -40,15 +43,15 @@
         zone=info["locality"],
         tick=info["tick"],
         fleet_size=info["fleet_size"],
-        tenants=tuple((each["name"], each["quota_per_s"]) for each in info["customers"]),
+        tenants=tuple((each["name"], each["quota_per_s"]) for each in info.get("customers") or ()),
         over_share_worth=info.get("over_share_worth", 1.0),
         halves=special.get("loses_worth") == "halves",
         zone_fees=tuple(zip(zones, special.get("zone_fee") or (), strict=False)),
         must_ask=info["membership_mode"] == "on_request",
-        ask_within=safety["ask_within"],
-        rates_told=info["weight_kind"] == "nominal",
+        ask_within=safety.get("ask_within", 10_000_000),
+        rates_told=info.get("weight_kind") == "nominal",
         may_cancel=limits["cancelling"],
-        max_retry_after=limits["max_retry_after"],
+        max_retry_after=limits.get("max_retry_after", 0),
         cold=safety["cold"],
         cold_from=safety["cold_from"],
         fall_multiple=safety["fall_multiple"],
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,11 +1,14 @@
 """The module's size, and its answers to bad input."""
 
+import copy
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
-from helpers import SECOND, World, settings
+from helpers import ENV, SECOND, World, settings
 
 from elmglade import interface as face
+from elmglade.settings import settings_from
 
 MODULE = Path(__file__).parent.parent / "elmglade" / "rules.py"
 
@@ -36,3 +39,11 @@
 def test_events_of_ids_no_longer_held_are_passed_over() -> None:
     world = World()
     assert world.step(face.AttemptEnded("never", 0, face.Outcome.OK), face.MessageWithdrawn("never")) == []
+
+
+def test_what_the_settings_may_leave_out_keeps_its_default() -> None:
+    """Sites without tenants, batches, weights or told waits for clients."""
+    told = copy.deepcopy(ENV)
+    del told["customers"], told["weight_kind"], told["safety"]["ask_within"]
+    del told["specifics"]["batch_by_kind"], told["specifics"]["own_limits"], told["limits"]["max_retry_after"]
+    assert settings_from(told) == replace(settings_from(ENV), max_retry_after=0)
