--- /dev/null
+++ b/plumline/routing/fleet.py
@@ -0,0 +1,94 @@
+"""What a router knows of the fleet: pure data, kept by the feed's follower, read by the decisions.
+
+Endpoints come from two soft topics that travel as plain lists and dicts:
+
+- `roster`: what the platform's list says, one dict an endpoint:
+  {"id", "service", "address" ("ip:port"), "zone", "slots", "draining" (bool), "cold_ms", "models" ({name: version})}
+- `marks`: what the holder of the `weights` lease knows better than the list, by endpoint id:
+  {"moving": bool, "models": {name: version}}; `moving`: an order is under way or about to be sent, so a new
+  request would be turned away with `Not-Executed`.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """One incarnation of an endpoint, known by its `Identifier` (`id`)."""
+
+    id: str
+    service: str
+    address: Address
+    zone: str
+    slots: int = 1
+    draining: bool = False
+    cold_ms: float = 0.0
+    models: dict[str, int] = field(default_factory=dict)  # model -> version of its weights
+    moving: bool = False
+
+
+def address_of(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+def endpoints_from(
+    roster: Iterable[Mapping[str, Any]], marks: Mapping[str, Mapping[str, Any]]
+) -> dict[str, Endpoint]:
+    """The endpoints by id. A mark never takes a version back that the list already shows."""
+    found: dict[str, Endpoint] = {}
+    for each in roster:
+        mark = marks.get(each["id"], {})
+        models = dict(each["models"])
+        for model, version in mark.get("models", {}).items():
+            models[model] = max(version, models.get(model, 0))
+        found[each["id"]] = Endpoint(
+            id=each["id"],
+            service=each["service"],
+            address=address_of(each["address"]),
+            zone=each["zone"],
+            slots=each["slots"],
+            draining=each["draining"],
+            cold_ms=each["cold_ms"],
+            models=models,
+            moving=bool(mark.get("moving", False)),
+        )
+    return found
+
+
+class Fleet:
+    """The newest of everything that the feed has told. `state` is a plumline.configuration.state.State,
+    `table` the RouteTable made from it; both None until the first snapshot has come."""
+
+    def __init__(self) -> None:
+        self.place = 0  # number of the newest chain entry applied
+        self.state: Any = None
+        self.table: Any = None
+        self.roster: list[dict[str, Any]] = []
+        self.marks: dict[str, dict[str, Any]] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.routers = 1  # alive in the fleet, this one included
+        self.fresh = False  # a source that is itself in touch with the core's majority feeds us now
+        self.watchers: list[Callable[[str], None]] = []  # told "configuration", "endpoints" or "members"
+
+    def named_version(self, model: str) -> int:
+        """The newest version of the model's weights that was acknowledged to the operator; 1 if none was."""
+        return self.state.versions.get(model, 1) if self.state else 1
+
+    def tell(self, topic: str) -> None:
+        for each in self.watchers:
+            each(topic)
+
+    def take_roster(self, roster: list[dict[str, Any]]) -> None:
+        self.roster = roster
+        self.endpoints = endpoints_from(self.roster, self.marks)
+        self.tell("endpoints")
+
+    def take_marks(self, marks: dict[str, dict[str, Any]]) -> None:
+        self.marks = marks
+        self.endpoints = endpoints_from(self.roster, self.marks)
+        self.tell("endpoints")
