--- a/plumline/breaker/breaker.py
+++ b/plumline/breaker/breaker.py
@@ -1,7 +1,7 @@
 """A circuit breaker: what it knows of one destination, and when the next call may go there.
 
-Failures in a row open it, one trial after the reset timeout closes it or restarts the timeout, a gap paces calls
-while closed. Times and durations are microseconds of its owner's clock, whole where the owner gives them.
+Failures in a row open it, one trial after the reset timeout closes it or restarts the timeout, a gap paces
+calls while closed. Times and durations are microseconds of its owner's clock, whole ones where it gives them.
 """
 
 import math
--- a/plumline/breaker/plain.py
+++ b/plumline/breaker/plain.py
@@ -11,7 +11,8 @@
 @dataclass(frozen=True, slots=True)
 class PlainSettings:
     """A BreakerSettings. `least_aim_us` is the first guess of how long a call may take: a call is overdue
-    after a quarter of it at the soonest. Raises ValueError, which names the field that is out of its range."""
+    after a quarter of it at the soonest. Raises ValueError, which names the field that is out of its range.
+    """
 
     least_aim_us: int  # us, above 0
     fleet_size: int = 1  # how many share the destinations, this one included
--- a/plumline/coordination/ballot.py
+++ b/plumline/coordination/ballot.py
@@ -95,7 +95,7 @@
     holding: bool = False
     asked_at: float = 0.0
     next_try: float = 0.0
-    seen: int = 0  # highest term told by voters of the present view
+    seen: int = 0  # highest term told by voters of one's own views, or given back
     rounds: dict[int, _Round] = field(default_factory=dict)
 
 
@@ -155,7 +155,8 @@
         new = frozenset(voters)
         self._earlier.append((self._view, frozenset(self._voters), now))
         # Majorities of the view before the last may have been there until now: it too must be known.
-        knows = self.me in self._voters and [entry[0] for entry in self._earlier[-2:]] == [number - 2, number - 1]
+        last = [entry[0] for entry in self._earlier[-2:]]
+        knows = self.me in self._voters and last == [number - 2, number - 1]
         for name, (lease_s, rest_s) in self._terms.items():
             vote = self._votes[name]
             if fresh:
@@ -169,7 +170,6 @@
             del self._earlier[0]
         for name, candidacy in self._candidacies.items():
             candidacy.rounds.clear()
-            candidacy.seen = 0
             if not candidacy.holding:
                 self._give_back(now, name, held=False)  # to the voters that were asked
         self._view, self._voters = number, sorted(voters)
@@ -397,6 +397,8 @@
         candidacy.rounds.clear()
         if not term:
             return
+        # Never again: a late withdrawal must not free what is promised for a term in use.
+        candidacy.seen = max(candidacy.seen, term)
         if held:
             self._to_voters(now, ["release", name, term, self._life])
         elif not was_holding:
--- a/plumline/router/app.py
+++ b/plumline/router/app.py
@@ -29,7 +29,11 @@
         self.follower = Follower(settings, self.fleet, self.counters)
         bounds = settings.bounds
         self.budget = RetryBudget(
-            bounds.retry_budget_ratio, bounds.retry_window_s, bounds.retry_budget_slack, self.loop.time()
+            bounds.retry_budget_ratio,
+            bounds.retry_window_s,
+            bounds.retry_budget_slack,
+            self.loop.time(),
+            fresh_system=settings.first_start,
         )
         self.dispatcher = Dispatcher(
             settings, self.fleet, self.counters, self.loop.time, budget=self.budget
--- a/plumline/router/dispatch.py
+++ b/plumline/router/dispatch.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import logging
 import random
 import time
 from collections.abc import Callable
@@ -16,7 +15,9 @@
 
 import h11
 
+from plumline import logs
 from plumline.configuration.routes import Route, RouteTable, Service, Tenant
+from plumline.coordination.budget import RetryBudget
 from plumline.counters import Counters
 from plumline.router.relay import (
     EventJoiner,
@@ -52,7 +53,7 @@
 SHUNNED = 1.0  # s without sends to an endpoint whose weights turned out to be others than known
 PROMISES = frozenset((408, 421, 429, 503))  # a client takes these for 'has not run and never will'
 
-log = logging.getLogger(__name__)
+log = logs.logger("dispatch")
 
 
 class Budget(Protocol):
@@ -86,16 +87,23 @@
         clock: Callable[[], float] = time.monotonic,
         chance: random.Random | None = None,
         *,
-        budget: Budget,
+        budget: Budget | None = None,
     ) -> None:
         self.zone, self.fleet, self.counters, self.clock = settings.zone, fleet, counters, clock
         self.chance = chance or random.Random()
-        self.budget = budget
+        bounds = settings.bounds
+        self.budget: Budget = budget or RetryBudget(
+            bounds.retry_budget_ratio,
+            bounds.retry_window_s,
+            bounds.retry_budget_slack,
+            clock(),
+            fresh_system=settings.first_start,
+        )
         self.outcomes = Outcomes(lambda: self.fleet.routers, self.chance)
         self.pool = Pool(CONNECT_TIMEOUT)
         self.affinity = Affinity()
         self.loads: dict[str, Load] = {}
-        self.versions = NamedVersions(self.told_versions, settings.bounds.version_apply_ms / 1000)
+        self.versions = NamedVersions(self.told_versions, bounds.version_apply_ms / 1000)
         self.learned: dict[str, dict[str, int]] = {}  # endpoint id -> {model: version} that its answers told
         self.shunned: dict[str, float] = {}  # endpoint id -> until when
         self.gone: set[str] = set()  # ids whose address answered for another incarnation
--- a/plumline/router/relay.py
+++ b/plumline/router/relay.py
@@ -68,6 +68,7 @@
         self.held = b""
         self.last: bytes | None = None
         self.joined = False
+        self.placed = True  # what was passed on ends where `last` says
 
     def begin(self) -> None:
         """The answer of another run begins."""
@@ -75,7 +76,7 @@
 
     def may_join(self) -> bool:
         """Whether a run may be joined to the one that broke off: its events can be told from old ones."""
-        return self.last is None or self.last.isdigit()
+        return self.placed and (self.last is None or self.last.isdigit())
 
     def feed(self, data: bytes) -> bytes:
         """The bytes that may go on now."""
@@ -86,8 +87,14 @@
             return b""
         if self.joined and self.last is not None:
             whole = b"".join(each for each in self.split(whole) if self.is_new(each))
+        if not whole:
+            return b""
         if (newest := self.id_of(whole)) is not None:
             self.last = newest
+        body = whole.rstrip(b"\r\n")
+        event = body[max(body.rfind(mark) for mark in self.ENDS) + 1 :]
+        if b"data" in event:
+            self.placed = self.id_of(event.lstrip(b"\r\n")) is not None
         return whole
 
     def rest(self) -> bytes:
@@ -108,7 +115,7 @@
         """A joined run goes on where the last one ended: an event without a rising id is none of it."""
         found = self.id_of(event)
         if found is None:
-            return not event.strip()[:5].startswith(b"data")
+            return b"data" not in event
         if not found.isdigit() or self.last is None or int(found) <= int(self.last):
             return False
         self.last = found
--- a/plumline/store/records.py
+++ b/plumline/store/records.py
@@ -135,7 +135,7 @@
         return values
 
     def append(self, records: list[Any]) -> None:
-        """Write and sync one batch. StoreFullError, StoreError: it may be there or not; broken until a rewrite."""
+        """Write and sync one batch. StoreFullError, StoreError: it may be there; broken until a rewrite."""
         if self.broken or self._fd < 0:
             raise StoreError("the file is broken until it is rewritten")
         if not records:
--- a/plumline/wire/server.py
+++ b/plumline/wire/server.py
@@ -93,6 +93,9 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=UNREAD_BYTES, low=UNREAD_BYTES // 4)
+        # The loop does it only for sockets that were made with their protocol named.
+        if (sock := transport.get_extra_info("socket")) is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.server.connections.add(self)
         self.expire_in(self.limits.idle_ms / 1000)
 
@@ -115,11 +118,9 @@
                 self.transport.pause_reading()
             return
         self.buffer += memoryview(self.server.buffer)[:size]
-        if self.phase is Phase.ANSWER:
-            if len(self.buffer) > AHEAD_BYTES:
-                self.transport.pause_reading()
-            return
         self.advance()
+        if self.phase is Phase.ANSWER and len(self.buffer) > AHEAD_BYTES:
+            self.transport.pause_reading()
 
     def eof_received(self) -> bool:
         """A client that sends no more has given up: those of this system wait with the connection open."""
@@ -252,6 +253,7 @@
         aborted = not (self.exchange and self.exchange.started)
         self.exchange = None
         self.release()
+        self.resume_writing()  # for whoever still waits on behalf of an answer that was aborted
         if aborted:
             self.transport.close()
         elif not stays or self.transport.is_closing():
@@ -266,7 +268,11 @@
                 self.loop.call_soon(self.advance)
 
     async def writable(self) -> None:
-        if self.room is not None and not self.transport.is_closing():
+        if self.transport.is_closing():
+            return
+        if self.room is None and self.transport.get_write_buffer_size() > UNREAD_BYTES:
+            self.room = self.loop.create_future()  # still full of the answer before
+        if self.room is not None:
             await asyncio.shield(self.room)
 
     def refuse(self, status: int, text: str) -> None:
--- /dev/null
+++ b/tests/test_ballot.py
@@ -0,0 +1,375 @@
+"""Leases by ballots: by hand, and by a seeded explorer that must find every guard that is taken out."""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import pytest
+
+from plumline.coordination.ballot import (
+    BallotMessageError,
+    Ballots,
+    Persist,
+    Send,
+    Terms,
+    majority,
+)
+
+LEASE = "weights"
+TERMS = {LEASE: Terms(1.0, 0.5)}
+TICK_S = 0.15
+
+
+class ViolationError(Exception):
+    """An invariant is broken."""
+
+
+# The explorer
+
+
+@dataclass
+class Node:
+    """A machine: its process (None while it is down), its disk, and what it has learned of the views."""
+
+    name: str
+    ballots: Ballots | None = None
+    life: int = 0
+    disk: list[list[Any]] = field(default_factory=list)
+    view: int = 0  # synced at once
+    thaws_at: float = 0.0
+    held_back: list[Callable[[], None]] = field(default_factory=list)
+    in_views: bool = True  # its incarnation is the one that the views name
+
+
+class World:
+    """One random schedule. `run` raises ViolationError; `turns` counts the changes of holder."""
+
+    def __init__(
+        self,
+        seed: int,
+        size: int,
+        kind: type[Ballots] = Ballots,
+        *,
+        sync_first: bool = True,
+        wild: bool = True,
+    ) -> None:
+        self.random = Random(seed)
+        self.kind = kind
+        self.sync_first = sync_first
+        self.wild = wild
+        self.now = 0.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        self.nodes = {name: Node(name) for name in "abcde"[:size]}
+        self.views: list[list[str]] = [list(self.nodes)]
+        self.cut: set[str] = set()
+        self.turns = 0
+        self.last: tuple[tuple[str, int], int, float] | None = None  # life, term, last possible act
+        self.owners: dict[int, tuple[str, int]] = {}
+        self.loss = self.random.choice([0.0, 0.05, 0.3])
+        self.troubles_per_s = self.random.choice([0.5, 1.0, 2.0])
+        for node in self.nodes.values():
+            self.start(node, formed=True)
+
+    def at(self, delay: float, call: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.events, (self.now + delay, self.count, call))
+
+    # One node
+
+    def start(self, node: Node, *, formed: bool = False) -> None:
+        node.life += 1
+        node.held_back.clear()
+        ballots = node.ballots = self.kind(node.name, TERMS, self.now, Random(self.random.random()))
+        ballots.restore(node.disk)
+        if formed:
+            node.view = 1
+            ballots.set_view(self.now, 1, self.voters(node, 1), formed_now=True)
+        elif node.view:
+            ballots.set_view(self.now, node.view, self.voters(node, node.view))
+        ballots.wish(self.now, LEASE, True)
+        self.at(self.random.random() * TICK_S, lambda: self.tick(node, node.life))
+
+    def voters(self, node: Node, number: int) -> list[str]:
+        voters = self.views[number - 1]
+        return voters if node.in_views else [name for name in voters if name != node.name]
+
+    def alive(self, node: Node, life: int, call: Callable[[], None]) -> bool:
+        """Whether the call may be made now; a frozen node gets it when it thaws."""
+        if node.ballots is None or node.life != life:
+            return False
+        if self.now < node.thaws_at:
+            node.held_back.append(call)
+            if len(node.held_back) == 1:
+                self.at(node.thaws_at - self.now, lambda: self.thaw(node))
+            return False
+        return True
+
+    def thaw(self, node: Node) -> None:
+        calls, node.held_back = node.held_back, []
+        self.random.shuffle(calls)
+        for call in calls:
+            call()
+
+    def tick(self, node: Node, life: int) -> None:
+        if self.alive(node, life, lambda: self.tick(node, life)):
+            node.ballots.tick(self.now)
+            self.step(node)
+            self.at(TICK_S, lambda: self.tick(node, life))
+
+    def step(self, node: Node) -> None:
+        for action in node.ballots.take_actions():
+            if isinstance(action, Send):
+                self.send(node, action.to, action.message)
+            else:
+                self.persist(node, action)
+        self.watch()
+
+    def persist(self, node: Node, action: Persist) -> None:
+        life = node.life
+        if not self.sync_first:
+            for to, message in action.send_after:
+                self.send(node, to, message)
+
+        def synced() -> None:
+            if node.ballots is None or node.life != life:
+                if node.in_views and self.random.random() < 0.2:
+                    node.disk.append(action.record)  # unsynced, yet there after the crash
+                return
+            node.disk.append(action.record)
+            if self.alive(node, life, told):
+                told()
+
+        def told() -> None:
+            if node.life == life and node.ballots:
+                node.ballots.on_synced(action.record)
+                if self.sync_first:
+                    for to, message in action.send_after:
+                        self.send(node, to, message)
+
+        self.at(self.random.choice([0.001, 0.01, 0.3, 1.5]), synced)
+
+    def send(self, node: Node, to: str, message: list[Any]) -> None:
+        if to == node.name:
+            self.at(0.0, lambda: self.deliver(node.name, to, message))
+            return
+        for _ in range(2 if self.random.random() < 0.05 else 1):
+            if self.random.random() < self.loss or (node.name in self.cut) != (to in self.cut):
+                continue
+            slow = self.random.random() < 0.1
+            delay = self.random.uniform(0.1, 2.0) if slow else self.random.uniform(0.001, 0.02)
+            self.at(delay, lambda: self.deliver(node.name, to, message))
+
+    def deliver(self, sender: str, to: str, message: list[Any]) -> None:
+        node = self.nodes[to]
+        if self.alive(node, node.life, lambda: self.deliver(sender, to, message)):
+            node.ballots.on_message(self.now, sender, message)
+            self.step(node)
+
+    # Troubles and views
+
+    def trouble(self) -> None:
+        self.at(self.random.expovariate(self.troubles_per_s), self.trouble)
+        node = self.random.choice(list(self.nodes.values()))
+        if self.last and self.random.random() < 0.5:
+            node = self.nodes[self.last[0][0]]
+        match self.random.choice("crash crash freeze cut wipe view view release outage".split()):
+            case "crash":
+                self.crash(node)
+            case "outage":
+                for each in self.nodes.values():
+                    self.crash(each)
+            case "freeze":
+                node.thaws_at = self.now + self.random.uniform(0.1, 2.5)
+            case "cut":
+                size = len(self.nodes)
+                self.cut = set(self.random.sample(list(self.nodes), self.random.randrange(size // 2 + 1)))
+            case "wipe" if self.wild and all(each.in_views for each in self.nodes.values()):
+                self.crash(node)
+                node.disk, node.view, node.in_views = [], 0, False
+            case "view" if self.wild:
+                self.change_view()
+            case "release" if node.ballots and self.now >= node.thaws_at:
+                node.ballots.release(self.now, LEASE)
+                self.step(node)
+                node.ballots.wish(self.now, LEASE, True)
+
+    def crash(self, node: Node) -> None:
+        if node.ballots is None:
+            return
+        node.ballots = None
+
+        def back() -> None:
+            if node.ballots is None:
+                self.start(node)
+
+        self.at(self.random.choice([0.01, 0.3, 1.0]), back)
+
+    def change_view(self) -> None:
+        """The next view, decided by a majority of the present one that has taken the present one in."""
+        number = len(self.views)
+        voters = self.views[-1]
+        able = [
+            node
+            for node in map(self.nodes.get, voters)
+            if node and node.ballots and node.in_views and self.now >= node.thaws_at
+        ]
+        self.random.shuffle(able)
+        able = able[: majority(len(voters))]
+        if len(able) < majority(len(voters)):
+            return
+        for node in able:
+            self.learn(node, number)
+        out = [name for name in self.nodes if name not in voters]
+        wiped = [name for name in voters if not self.nodes[name].in_views]
+        if wiped:
+            following = [name for name in voters if name not in wiped]
+        elif out and (len(voters) < 3 or self.random.random() < 0.5):
+            joins = self.random.choice(out)
+            if self.nodes[joins].ballots is None:
+                return
+            following = [*voters, joins]
+            self.nodes[joins].in_views = True
+        elif len(voters) > 2:
+            leaves = self.random.choice(voters)
+            following = [name for name in voters if name != leaves]
+        else:
+            return
+        self.views.append(following)
+        for node in self.nodes.values():
+            if self.random.random() < 0.7:
+                self.at(
+                    self.random.choice([0.0, 0.02, 1.0, 3.0]), lambda node=node: self.learn(node, number + 1)
+                )
+
+    def learn(self, node: Node, number: int) -> None:
+        if node.ballots is None or self.now < node.thaws_at:
+            return
+        step = self.random.random() < 0.7
+        while node.view < number:
+            node.view = node.view + 1 if step else number
+            node.ballots.set_view(self.now, node.view, self.voters(node, node.view))
+        self.step(node)
+
+    # Invariants
+
+    def watch(self) -> None:
+        held = [
+            ((node.name, node.life), term)
+            for node in self.nodes.values()
+            if node.ballots and (term := node.ballots.holds(LEASE, self.now)) is not None
+        ]
+        if len(held) > 1:
+            raise ViolationError(f"two holders: {held}")
+        if not held:
+            return
+        life, term = held[0]
+        if self.owners.setdefault(term, life) != life:
+            raise ViolationError(f"term {term} of both {self.owners[term]} and {life}")
+        if self.last:
+            before, last_term, last_act = self.last
+            if term < last_term or (term == last_term) != (life == before and term == last_term):
+                raise ViolationError(f"term {term} after {last_term}")
+            if life[0] != before[0]:
+                self.turns += 1
+                if self.now - last_act < TERMS[LEASE].rest_s - 1e-9:
+                    raise ViolationError(f"{life} came {self.now - last_act:.3f} s after {before}")
+        self.last = life, term, self.now
+
+    def run(self, until: float) -> None:
+        self.at(self.random.random(), self.trouble)
+        while self.events and self.events[0][0] < until:
+            self.now, _, call = heapq.heappop(self.events)
+            call()
+
+
+def explore(seeds: range, size: int, kind: type[Ballots] = Ballots, **kwargs: bool) -> Counter[str]:
+    """Run a schedule for each seed: how many were run, and how many changes of holder there were."""
+    counts: Counter[str] = Counter()
+    for seed in seeds:
+        world = World(seed, size, kind, **kwargs)
+        world.run(10.0)
+        counts["schedules"] += 1
+        counts["turns"] += world.turns
+        counts["views"] += len(world.views)
+    return counts
+
+
+@pytest.mark.parametrize(("size", "seeds"), [(3, 700), (5, 300)])
+@pytest.mark.parametrize("wild", [False, True])
+def test_explorer_finds_nothing(size: int, seeds: int, wild: bool) -> None:
+    counts = explore(range(seeds), size, wild=wild)
+    print(size, wild, dict(counts))
+    assert counts["schedules"] == seeds
+    assert counts["turns"] > seeds / 2  # else it explored nothing
+    assert (counts["views"] > 2 * seeds) == wild
+
+
+class NoAbstention(Ballots):
+    def _abstains(self, now: float, vote: Any) -> bool:  # noqa: ANN401
+        return False
+
+
+class NoRest(Ballots):
+    def _promise_s(self, name: str) -> float:
+        return self._terms[name].lease_s
+
+
+class NoPromise(Ballots):
+    def _free(self, now: float, vote: Any, sender: str) -> bool:  # noqa: ANN401
+        return True
+
+
+class CountsFromAnswer(Ballots):
+    def _lease_start(self, asked_at: float, now: float) -> float:
+        return now
+
+
+class ForgetsEarlierViews(Ballots):
+    def _outlasting(self, number: int, voters: frozenset[str], promise_s: float) -> float:
+        return 0.0
+
+
+class RestoresNothing(Ballots):
+    def restore(self, records: list[list[Any]]) -> None:
+        pass
+
+
+class GivesTermsTwice(Ballots):
+    def _give_back(self, now: float, name: str, *, held: bool) -> None:
+        seen = self._candidacies[name].seen
+        super()._give_back(now, name, held=held)
+        self._candidacies[name].seen = seen
+
+
+class WithdrawFreesAll(Ballots):
+    def _on_withdraw(self, sender: str, name: str, term: int, life: int) -> None:
+        vote = self._votes[name]
+        if vote.holder == sender:
+            vote.until = 0.0
+
+
+@pytest.mark.parametrize("size", [3, 5])
+@pytest.mark.parametrize(
+    ("kind", "sync_first"),
+    [
+        (NoAbstention, True),
+        (NoRest, True),
+        (NoPromise, True),
+        (CountsFromAnswer, True),
+        (RestoresNothing, True),
+        (GivesTermsTwice, True),
+        (WithdrawFreesAll, True),
+        (ForgetsEarlierViews, True),
+        (Ballots, False),
+    ],
+)
+def test_explorer_finds_what_a_guard_is_for(size: int, kind: type[Ballots], sync_first: bool) -> None:
+    if kind is ForgetsEarlierViews and size == 3:
+        size = 4
+    with pytest.raises(ViolationError) as caught:
+        explore(range(6000), size, kind, sync_first=sync_first)
+    print(caught.value)
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,130 @@
+"""The share of the retry budget: no window of the whole fleet is ever overdrawn."""
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from plumline.coordination.budget import RetryBudget
+
+RATIO, WINDOW_S, SLACK = 0.2, 10.0, 58.0
+
+
+def worst_overdraft(
+    requests: list[float], repeats: list[float], window_s: float, ratio: float, slack: float
+) -> float:
+    """Over all windows (s, s + w]: repeats - what the rule allows; the worst begins or ends at an event."""
+
+    def count(times: list[float], start: float) -> int:
+        return sum(start < time <= start + window_s for time in times)
+
+    worst = -slack
+    for end in repeats:
+        start = end - window_s
+        allowed = max(count(requests, start - shift) for shift in (0.0, window_s / 2, window_s))
+        worst = max(worst, count(repeats, start) - ratio * allowed - slack)
+    return worst
+
+
+def play(seed: int, routers: int, hunger: float, wander: bool) -> tuple[list[float], list[float]]:
+    """A fleet that spends as much as it may: its requests wander and come in bursts, routers die and come
+    back, and what each knows of the number of routers lags by up to 2 s."""
+    random = Random(seed)
+    alive: list[RetryBudget | None] = [
+        RetryBudget(RATIO, WINDOW_S, SLACK, 0.0, fresh_system=True) for _ in range(routers)
+    ]
+    history = [(0.0, routers)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    now, last = 0.0, 40.0
+    rate, favoured, turn_at = 20.0, 0, 0.0
+    while now < last:
+        now += random.expovariate(rate)
+        if now >= turn_at:
+            turn_at = now + random.uniform(1.0, 6.0)
+            rate = random.choice([3.0, 20.0, 80.0])
+            favoured = random.randrange(routers)
+            victim = random.randrange(routers)
+            if alive[victim] is None:
+                alive[victim] = RetryBudget(RATIO, WINDOW_S, SLACK, now)
+            elif sum(each is not None for each in alive) > 1:
+                alive[victim] = RetryBudget(RATIO, WINDOW_S, SLACK, now) if random.random() < 0.5 else None
+            history.append((now, sum(each is not None for each in alive)))
+        place = favoured if wander and random.random() < 0.9 else random.randrange(routers)
+        budget = alive[place]
+        if budget is None:
+            continue
+        requests.append(now)
+        budget.request(now, "chat")
+        seen_at = now - random.uniform(0.0, 2.0)
+        known = next((count for time, count in reversed(history) if time <= seen_at), routers)
+        while random.random() < hunger and budget.may_repeat(now, "chat", known):
+            repeats.append(now)
+    return requests, repeats
+
+
+@settings(max_examples=60, deadline=None)
+@given(
+    st.integers(0, 2**32), st.integers(1, 12), st.sampled_from([0.2, 0.6, 0.95, 1.0]), st.booleans()
+)
+def test_no_window_is_overdrawn(seed: int, routers: int, hunger: float, wander: bool) -> None:
+    requests, repeats = play(seed, routers, hunger, wander)
+    assert worst_overdraft(requests, repeats, WINDOW_S, RATIO, SLACK) <= 1e-9
+
+
+def test_the_check_sees_an_overdraft() -> None:
+    """59 repeats at once and no request: one past the slack. At the far edge the window is open."""
+    assert worst_overdraft([], [5.0] * 59, WINDOW_S, RATIO, SLACK) == 1.0
+    assert worst_overdraft([5.0] * 5, [5.0] * 59, WINDOW_S, RATIO, SLACK) == 0.0
+    assert worst_overdraft([], [5.0] * 30 + [15.0] * 29, WINDOW_S, RATIO, SLACK) < 0.0
+
+
+@settings(max_examples=30, deadline=None)
+@given(st.integers(0, 2**32))
+def test_bursts_at_both_ends_of_a_window(seed: int) -> None:
+    """Requests at one router, then at another: the rule's windows hold only one of the bursts."""
+    random = Random(seed)
+    budgets = [RetryBudget(RATIO, WINDOW_S, 0.0, 0.0, fresh_system=True) for _ in range(2)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    first = random.uniform(20.0, 21.0)
+    for budget, at in zip(budgets, (first, first + random.uniform(5.0, 12.0)), strict=True):
+        for _ in range(200):
+            requests.append(at)
+            budget.request(at, "chat")
+        spend_at = at + random.uniform(0.0, 5.0)
+        while budget.may_repeat(spend_at, "chat", 2):
+            repeats.append(spend_at)
+    assert worst_overdraft(requests, repeats, WINDOW_S, RATIO, 0.0) <= 1e-9
+
+
+def test_steady_requests_allow_nearly_half_of_the_ratio() -> None:
+    budget = RetryBudget(RATIO, WINDOW_S, 0.0, 0.0, fresh_system=True)
+    taken = 0
+    for step in range(10_000):
+        now = step * 0.01
+        budget.request(now, "chat")
+        taken += budget.may_repeat(now, "chat", 3)
+    assert 0.45 * RATIO * 10_000 < taken <= 0.48 * RATIO * 10_000
+
+
+def test_services_are_apart() -> None:
+    budget = RetryBudget(RATIO, WINDOW_S, 0.0, 0.0, fresh_system=True)
+    for _ in range(100):
+        budget.request(1.0, "chat")
+    assert not budget.may_repeat(1.0, "mail", 1)
+    assert budget.may_repeat(1.0, "chat", 1)
+
+
+def test_a_restarted_router_takes_its_part_of_the_slack_as_spent() -> None:
+    budget = RetryBudget(RATIO, WINDOW_S, SLACK, 100.0)
+    assert not budget.may_repeat(110.0, "chat", 3)
+    assert budget.may_repeat(112.0, "chat", 3)
+
+
+def test_the_slack_is_shared_among_the_most_routers_of_the_last_window() -> None:
+    budget = RetryBudget(RATIO, WINDOW_S, SLACK, 0.0, fresh_system=True)
+    assert budget.may_repeat(1.0, "chat", 20)  # 0.8 * 58 / 22: two
+    assert budget.may_repeat(8.0, "chat", 1)
+    assert not budget.may_repeat(8.0, "chat", 1)
+    assert budget.may_repeat(30.0, "chat", 1)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import ClassVar
 
 import pytest
 
@@ -16,8 +18,19 @@
 
 
 class Client:
+    opened: ClassVar[list["Client"]] = []
+
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
+        self.opened.append(self)
+
+    @classmethod
+    async def close_all(cls) -> None:
+        while cls.opened:
+            writer = cls.opened.pop().writer
+            writer.close()
+            with suppress(OSError):
+                await writer.wait_closed()
 
     @classmethod
     async def to(cls, server: Server) -> "Client":
@@ -56,6 +69,7 @@
                 await scene(stage)
         finally:
             stage.server.end()
+            await Client.close_all()
 
     asyncio.run(run())
 
@@ -391,6 +405,19 @@
     play(scene)
 
 
+def test_an_answer_aborted_for_a_stalled_client_frees_who_waits_for_it() -> None:
+    async def scene(stage: Scene) -> None:
+        sock, got = await stalled(stage)
+        waits = asyncio.ensure_future(got.drain())
+        await asyncio.sleep(0)  # it has begun to wait
+        assert not waits.done()
+        got.abort()
+        await waits
+        sock.close()
+
+    play(scene)
+
+
 def test_a_client_that_never_reads_its_whole_answer_is_cut_off() -> None:
     async def scene(stage: Scene) -> None:
         sock, got = await stalled(stage)
@@ -442,6 +469,7 @@
             client.send(b"POST /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
             assert (await client.answer())[0].startswith(b"HTTP/1.1 405 ")
         readiness.end()
+        await Client.close_all()
 
     asyncio.run(run())
 
--- /dev/null
+++ b/tests/test_ring.py
@@ -0,0 +1,73 @@
+"""The rendezvous hash: the same everywhere, spread evenly, little moved by those who come and go."""
+
+import os
+import subprocess
+import sys
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plumline.coordination.ring import Candidate, choose, watchers, weight
+
+NAMES = st.lists(st.text("abcdef0123", min_size=1, max_size=4), min_size=1, max_size=8, unique=True)
+
+
+def test_weight_does_not_depend_on_the_process() -> None:
+    code = "from plumline.coordination.ring import weight; print(weight('key', 'name'))"
+    seen = {
+        subprocess.run(
+            [sys.executable, "-c", code],
+            env=os.environ | {"PYTHONHASHSEED": seed, "PYTHONPATH": "."},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout.strip()
+        for seed in ("1", "2")
+    }
+    assert seen == {str(weight("key", "name"))}
+
+
+def test_key_and_name_are_kept_apart() -> None:
+    assert weight("ab", "c") != weight("a", "bc")
+
+
+def test_choose_from_nothing() -> None:
+    assert choose("key", []) is None
+
+
+@given(st.text(max_size=5), NAMES, st.data())
+def test_the_chosen_stays_when_another_goes(key: str, names: list[str], data: st.DataObject) -> None:
+    best = choose(key, names)
+    gone = data.draw(st.sampled_from(names))
+    left = [name for name in names if name != gone]
+    if gone != best:
+        assert choose(key, left) == best
+    assert choose(key, reversed(names)) == best
+
+
+@given(st.text(max_size=5), NAMES, st.data())
+def test_watchers_differ_in_zone_where_they_can(node: str, names: list[str], data: st.DataObject) -> None:
+    candidates = [Candidate(name, data.draw(st.sampled_from("xyz"))) for name in names]
+    zones = dict(candidates)
+    found = watchers(node, candidates)
+    assert len(found) == len(set(found)) == min(2, len(names))
+    assert found[0] == choose(node, names)
+    if len(set(zones.values())) > 1:
+        assert zones[found[0]] != zones[found[1]]
+    for gone in set(names) - set(found):
+        assert watchers(node, [each for each in candidates if each.name != gone]) == found
+
+
+def test_three_watchers_in_two_zones() -> None:
+    candidates = [Candidate("a", "x"), Candidate("b", "x"), Candidate("c", "y")]
+    found = watchers("node", candidates, 3)
+    assert sorted(found) == ["a", "b", "c"]
+    assert "c" in found[:2]
+    assert watchers("node", [], 2) == []
+
+
+def test_load_is_spread() -> None:
+    names = [f"10.0.0.{i}:70" for i in range(5)]
+    counts = Counter(choose(f"key{i}", names) for i in range(5000))
+    assert all(850 < counts[name] < 1150 for name in names)
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,484 @@
+"""The record file against torn tails, damage and failing disks; the writers' order and healing."""
+
+import asyncio
+import errno
+import os
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from plumline.errors import StoreDamagedError, StoreError, StoreFullError
+from plumline.store import records as records_module
+from plumline.store import writer as writer_module
+from plumline.store.records import RecordFile
+from plumline.store.writer import DurableWriter, ImmediateWriter, MemoryWriter
+
+BATCHES: list[list[Any]] = [[["a", 1], {"k": [1.5, None]}], ["x" * 300], [b"\x00" * 50, "y", 7]]
+FLAT = [record for batch in BATCHES for record in batch]
+
+
+def written(folder: Path) -> tuple[Path, list[int]]:
+    """A file with BATCHES appended: its path and the size before and after each batch."""
+    file = RecordFile(folder)
+    assert file.open() == []
+    sizes = [file.size]
+    for batch in BATCHES:
+        file.append(batch)
+        sizes.append(file.size)
+    file.close()
+    path = folder / "state.log"
+    assert path.stat().st_size == sizes[-1]
+    return path, sizes
+
+
+def reopened(folder: Path) -> list[Any]:
+    file = RecordFile(folder)
+    try:
+        return file.open()
+    finally:
+        file.close()
+
+
+def test_replay_and_going_on(tmp_path: Path) -> None:
+    written(tmp_path)
+    file = RecordFile(tmp_path)
+    assert file.open() == FLAT
+    file.append(["more"])
+    file.append([])
+    file.close()
+    assert reopened(tmp_path) == [*FLAT, "more"]
+
+
+def test_every_cut_drops_the_torn_batch_whole_and_can_be_appended_to(tmp_path: Path) -> None:
+    path, sizes = written(tmp_path)
+    data = path.read_bytes()
+    for cut in range(sizes[0], sizes[-1]):
+        path.write_bytes(data[:cut])
+        whole = sum(size <= cut for size in sizes[1:])
+        left = [record for batch in BATCHES[:whole] for record in batch]
+        file = RecordFile(tmp_path)
+        assert file.open() == left, cut
+        file.append(["after"])
+        file.close()
+        assert reopened(tmp_path) == [*left, "after"], cut
+
+
+def test_any_bad_byte_of_the_last_batch_is_a_torn_tail(tmp_path: Path) -> None:
+    path, sizes = written(tmp_path)
+    data = bytearray(path.read_bytes())
+    for at in range(sizes[-2], sizes[-1]):
+        bad = data.copy()
+        bad[at] ^= 0x40
+        path.write_bytes(bad)
+        assert reopened(tmp_path) == FLAT[:3], at
+
+
+def test_any_bad_byte_before_the_last_batch_is_damage(tmp_path: Path) -> None:
+    path, sizes = written(tmp_path)
+    data = path.read_bytes()
+    for at in range(sizes[-2]):
+        bad = bytearray(data)
+        bad[at] ^= 0x01
+        path.write_bytes(bad)
+        with pytest.raises(StoreDamagedError):
+            reopened(tmp_path)
+        assert path.read_bytes() == bad
+
+
+def test_damage_in_what_a_rewrite_left_is_never_a_torn_tail(tmp_path: Path) -> None:
+    file = RecordFile(tmp_path)
+    file.open()
+    file.rewrite(FLAT)
+    file.close()
+    path = tmp_path / "state.log"
+    data = path.read_bytes()
+    for bad in (data[:-1], data[:40], data[:-1] + b"\xff", b""):
+        path.write_bytes(bad)
+        with pytest.raises(StoreDamagedError):
+            reopened(tmp_path)
+
+
+@settings(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(st.binary(max_size=200), st.integers(0, 2**32 - 1))
+def test_garbage_behind_the_log_is_dropped(tmp_path: Path, garbage: bytes, length: int) -> None:
+    path = tmp_path / "state.log"
+    path.unlink(missing_ok=True)
+    written(tmp_path)
+    with path.open("ab") as stream:
+        stream.write(length.to_bytes(4, "little") + b"\xa5Rc\x1e" + garbage)
+    assert reopened(tmp_path) == FLAT
+    assert reopened(tmp_path) == FLAT
+
+
+def test_records_of_an_older_file_are_not_taken_for_later_ones(tmp_path: Path) -> None:
+    """Blocks that a file had before a rewrite may turn up behind the new one."""
+    path, _ = written(tmp_path)
+    older = path.read_bytes()
+    file = RecordFile(tmp_path)
+    file.open()
+    file.rewrite(["new"])
+    file.close()
+    path.write_bytes(path.read_bytes() + older[-200:])
+    assert reopened(tmp_path) == ["new"]
+
+
+def test_leftover_of_a_rewrite_is_removed(tmp_path: Path) -> None:
+    written(tmp_path)
+    (tmp_path / "state.log.rewrite").write_bytes(b"half")
+    assert reopened(tmp_path) == FLAT
+    assert [path.name for path in tmp_path.iterdir()] == ["state.log"]
+
+
+def test_too_long_and_not_encodable_values_break_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(records_module, "MAX_RECORD", 100)
+    file = RecordFile(tmp_path)
+    file.open()
+    for bad in ("x" * 101, object()):
+        with pytest.raises(StoreError):
+            file.append([bad])
+    file.append(["good"])
+    file.close()
+    assert reopened(tmp_path) == ["good"]
+
+
+def test_wants_rewrite(tmp_path: Path) -> None:
+    file = RecordFile(tmp_path)
+    file.open()
+    block = "x" * 300_000
+    file.append([block] * 3)
+    assert not file.wants_rewrite
+    file.append([block])
+    assert file.wants_rewrite
+    file.rewrite([block])
+    assert not file.wants_rewrite
+    file.append([block] * 2)
+    assert not file.wants_rewrite
+    file.append([block] * 2)
+    assert file.wants_rewrite
+    file.close()
+
+
+class Disk:
+    """Takes the place of the os calls in plumline.store.records; each may be made to fail."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.fail: dict[str, int] = {}
+        self.short = False
+        self.stalled = threading.Event()  # a call has come while `go` is unset
+        self.go = threading.Event()
+        self.go.set()
+        self.calls: list[str] = []
+        for name in ("write", "fdatasync", "fsync", "rename"):
+            monkeypatch.setattr(records_module.os, name, self._wrapped(name, getattr(os, name)))
+
+    def _wrapped(self, name: str, real: Callable[..., Any]) -> Callable[..., Any]:
+        def call(*args: Any) -> Any:  # noqa: ANN401
+            self.calls.append(name)
+            if not self.go.is_set():
+                self.stalled.set()
+                assert self.go.wait(10)
+            if name in self.fail:
+                raise OSError(self.fail[name], os.strerror(self.fail[name]))
+            if name == "write" and self.short:
+                return real(args[0], args[1][: len(args[1]) // 2])
+            return real(*args)
+
+        return call
+
+
+@pytest.fixture
+def disk(monkeypatch: pytest.MonkeyPatch) -> Disk:
+    return Disk(monkeypatch)
+
+
+@pytest.mark.parametrize(
+    ("call", "number", "kind"),
+    [
+        ("write", errno.ENOSPC, StoreFullError),
+        ("write", errno.EIO, StoreError),
+        ("fdatasync", errno.EIO, StoreError),
+        ("fdatasync", errno.ENOSPC, StoreFullError),
+        ("short", 0, StoreFullError),
+    ],
+)
+def test_after_a_failure_only_a_rewrite_helps(
+    tmp_path: Path, disk: Disk, call: str, number: int, kind: type[StoreError]
+) -> None:
+    file = RecordFile(tmp_path)
+    file.open()
+    file.append(["kept"])
+    disk.short = call == "short"
+    if number:
+        disk.fail[call] = number
+    with pytest.raises(StoreError) as caught:
+        file.append(["lost", "x" * 100])
+    assert type(caught.value) is kind
+    disk.fail.clear()
+    disk.short = False
+    with pytest.raises(StoreError):
+        file.append(["again"])
+    disk.fail["fsync"] = errno.EIO
+    with pytest.raises(StoreError):
+        file.rewrite(["no"])
+    disk.fail.clear()
+    with pytest.raises(StoreError):
+        file.append(["again"])
+    file.rewrite(["kept", "healed"])
+    file.append(["again"])
+    file.close()
+    assert reopened(tmp_path) == ["kept", "healed", "again"]
+
+
+@pytest.mark.parametrize("call", ["write", "fsync", "rename"])
+def test_a_rewrite_that_fails_leaves_the_old_contents(tmp_path: Path, disk: Disk, call: str) -> None:
+    written(tmp_path)
+    file = RecordFile(tmp_path)
+    file.open()
+    disk.fail[call] = errno.EIO
+    with pytest.raises(StoreError):
+        file.rewrite(["new"])
+    disk.fail.clear()
+    file.close()
+    assert reopened(tmp_path) == FLAT
+
+
+def test_a_batch_is_one_write_and_one_sync(tmp_path: Path, disk: Disk) -> None:
+    file = RecordFile(tmp_path)
+    file.open()
+    disk.calls.clear()
+    file.append(FLAT)
+    assert disk.calls == ["write", "fdatasync"]
+    file.close()
+
+
+class Owner:
+    """Puts values in memory, then submits them; hears what is done."""
+
+    def __init__(self) -> None:
+        self.memory: list[Any] = []
+        self.done: list[Any] = []
+        self.waiting: dict[int, asyncio.Event] = {}
+        self.writer: Any = None
+
+    def image(self) -> list[Any]:
+        return list(self.memory)
+
+    def put(self, value: Any) -> None:  # noqa: ANN401
+        self.memory.append(value)
+        self.writer.submit([value], lambda: self._hear(value))
+
+    def _hear(self, value: Any) -> None:  # noqa: ANN401
+        self.done.append(value)
+        for count, event in self.waiting.items():
+            if len(self.done) >= count:
+                event.set()
+
+    async def until(self, count: int) -> None:
+        """Until so many are done."""
+        event = self.waiting[count] = asyncio.Event()
+        if len(self.done) >= count:
+            event.set()
+        await asyncio.wait_for(event.wait(), 10)
+
+
+async def start(folder: Path) -> tuple[Owner, RecordFile]:
+    file = RecordFile(folder)
+    file.open()
+    owner = Owner()
+    owner.writer = DurableWriter(file, asyncio.get_running_loop(), owner.image)
+    return owner, file
+
+
+def test_a_stalled_disk_stops_neither_loop_nor_order(tmp_path: Path, disk: Disk) -> None:
+    async def main() -> None:
+        owner, _ = await start(tmp_path)
+        loop = asyncio.get_running_loop()
+        assert owner.writer.oldest_pending(loop.time()) == 0.0
+        disk.go.clear()
+        owner.put(0)
+        assert await asyncio.to_thread(disk.stalled.wait, 10)
+        disk.calls.clear()
+        for value in range(1, 50):
+            owner.put(value)
+        assert owner.done == []
+        assert owner.writer.oldest_pending(loop.time() + 5.0) >= 5.0
+        disk.go.set()
+        await owner.until(50)
+        assert owner.done == list(range(50))
+        assert disk.calls.count("fdatasync") == 2  # the stalled one, then all others in one batch
+        assert owner.writer.oldest_pending(loop.time() + 5.0) == 0.0
+        owner.writer.close()
+
+    asyncio.run(main())
+    disk.go.set()
+    assert reopened(tmp_path) == list(range(50))
+
+
+def test_nothing_is_done_before_the_sync(tmp_path: Path, disk: Disk) -> None:
+    async def main() -> None:
+        owner, _ = await start(tmp_path)
+        at_sync: list[list[Any]] = []
+        real = records_module.os.fdatasync
+
+        def sync(fd: int) -> None:
+            at_sync.append(list(owner.done))
+            real(fd)
+
+        records_module.os.fdatasync = sync
+        try:
+            owner.put("one")
+            await owner.until(1)
+            owner.put("two")
+            await owner.until(2)
+        finally:
+            records_module.os.fdatasync = real
+        assert at_sync == [[], ["one"]]
+        owner.writer.close()
+
+    asyncio.run(main())
+
+
+def test_a_broken_disk_heals_by_a_rewrite(
+    tmp_path: Path, disk: Disk, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(writer_module, "RETRY_S", 0.01)
+
+    async def main() -> None:
+        owner, file = await start(tmp_path)
+        owner.put("before")
+        await owner.until(1)
+        images = 0
+        tried = asyncio.Event()
+        real = owner.image
+
+        def image() -> list[Any]:
+            nonlocal images
+            images += 1
+            if images == 3:
+                owner.put("during")
+                tried.set()
+            return real()
+
+        owner.writer._image = image
+        disk.fail = {"fdatasync": errno.ENOSPC, "fsync": errno.ENOSPC}
+        owner.put("failed")
+        owner.put("queued")
+        await asyncio.wait_for(tried.wait(), 10)
+        assert owner.done == ["before"]
+        assert isinstance(owner.writer.broken, StoreFullError)
+        disk.fail = {}
+        await owner.until(4)
+        assert owner.writer.broken is None
+        owner.put("after")
+        await owner.until(5)
+        assert owner.done == ["before", "failed", "queued", "during", "after"]
+        assert not file.broken
+        owner.writer.close()
+
+    asyncio.run(main())
+    assert reopened(tmp_path) == ["before", "failed", "queued", "during", "after"]
+
+
+def test_compaction(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(records_module, "REWRITE_FLOOR", 2000)
+
+    async def main() -> None:
+        owner, file = await start(tmp_path)
+        for value in range(200):
+            owner.memory = [value]
+            owner.writer.submit(["x" * 100, value], lambda value=value: owner._hear(value))
+            await owner.until(value + 1)
+        assert owner.done == list(range(200))
+        owner.writer.close()
+        assert file.size < 5000
+
+    asyncio.run(main())
+    assert reopened(tmp_path)[-1] == 199
+
+
+def test_close_syncs_what_is_queued(tmp_path: Path) -> None:
+    async def main() -> None:
+        owner, _ = await start(tmp_path)
+        for value in range(5):
+            owner.put(value)
+        owner.writer.close()
+        with pytest.raises(StoreError):
+            owner.put("late")
+        await owner.until(5)
+
+    asyncio.run(main())
+    assert reopened(tmp_path) == list(range(5))
+
+
+def test_close_does_not_wait_for_a_stalled_disk(
+    tmp_path: Path, disk: Disk, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(writer_module, "CLOSE_S", 0.01)
+
+    async def main() -> None:
+        owner, _ = await start(tmp_path)
+        disk.go.clear()
+        owner.put(1)
+        assert await asyncio.to_thread(disk.stalled.wait, 10)
+        owner.writer.close()
+        assert owner.done == []
+
+    try:
+        asyncio.run(main())
+    finally:
+        disk.go.set()
+
+
+def test_a_done_that_fails_does_not_silence_the_others(tmp_path: Path) -> None:
+    async def main() -> None:
+        owner, _ = await start(tmp_path)
+        faults: list[dict[str, Any]] = []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: faults.append(context))
+        owner.writer.submit(["bad"], lambda: [][0])
+        owner.put("good")
+        await owner.until(1)
+        assert len(faults) == 1
+        owner.writer.close()
+
+    asyncio.run(main())
+
+
+def test_immediate_writer(tmp_path: Path, disk: Disk) -> None:
+    file = RecordFile(tmp_path)
+    file.open()
+    owner = Owner()
+    owner.writer = ImmediateWriter(file, owner.image, lambda: 5.0)
+    owner.put("one")
+    assert owner.done == ["one"]
+    disk.fail = {"fdatasync": errno.EIO, "fsync": errno.EIO}
+    owner.put("two")
+    owner.put("three")
+    assert owner.done == ["one"]
+    assert isinstance(owner.writer.broken, StoreError)
+    assert owner.writer.oldest_pending(7.0) == 2.0
+    disk.fail = {}
+    owner.writer.retry()
+    assert owner.done == ["one", "two", "three"]
+    assert owner.writer.broken is None
+    owner.writer.close()
+    assert reopened(tmp_path) == ["one", "two", "three"]
+
+
+def test_memory_writer_calls_in_order_also_from_within() -> None:
+    writer = MemoryWriter()
+    heard: list[str] = []
+
+    def first() -> None:
+        writer.submit([], lambda: heard.append("second"))
+        heard.append("first")
+
+    writer.submit([], first)
+    assert heard == ["first", "second"]
+    assert writer.oldest_pending(1.0) == 0.0
--- a/tests/test_weights_job.py
+++ b/tests/test_weights_job.py
@@ -117,7 +117,7 @@
 
 
 def test_the_zones_take_turns() -> None:
-    scene = Scene(*(endpoint(f"e{i}", zone="z1" if i < 6 else "z2") for i in range(12)), apply_s=2)
+    scene = Scene(*(endpoint(f"e{i:02}", zone="z1" if i < 6 else "z2") for i in range(12)), apply_s=2)
     zones = [endpoints_from(scene.roster, {})[id_].zone for _, id_ in scene.steps()]
     assert sorted(zones) == ["z1", "z1", "z2", "z2"]
 
@@ -206,7 +206,7 @@
 
 
 @pytest.mark.parametrize("status", [400, 412, 421, 500, 503])
-def test_an_order_not_taken_lets_the_endpoint_serve_on_and_is_tried_again_later_and_later(status: int) -> None:
+def test_an_order_not_taken_lets_the_endpoint_serve_on_until_a_later_try(status: int) -> None:
     scene = Scene(endpoint("a"), apply_s=100)
     waits = []
     scene.under_way(status)
