--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -34,6 +34,7 @@
 DISCOVERY_LEASE = 1.2  # s; with no rest: the calls of two holders do no harm but their price
 WEIGHTS_LEASE = 1.0  # s
 MARGIN = 0.4  # s added to the rest that the deployment asks for
+SUMMARY = 10.0  # s between summaries of the counters
 LEAVE_PAUSE = 0.6  # s at the end for the others to take this one out of the chain
 
 log = logs.logger("registrar")
@@ -213,7 +214,7 @@
     # Loops.
 
     async def step_forever(self) -> None:
-        beat_at = told_at = 0.0
+        beat_at = told_at = summary_at = 0.0
         while True:
             now = self.loop.time()
             self.core.sick = self.writer.broken is not None or (
@@ -228,6 +229,10 @@
                 told_at = now + 1.0
                 self.mesh.send_all(["followers", self.feed.alive(now)])
                 self.mesh.want(set(self.core.contacts.peers))
+            if now >= summary_at:
+                summary_at = now + SUMMARY
+                for line in self.counters.lines():
+                    log.info(line)
             await asyncio.sleep(STEP)
 
     def note_leases(self, now: float) -> None:
--- a/plumline/registrar/feeding.py
+++ b/plumline/registrar/feeding.py
@@ -73,7 +73,7 @@
             if follower.place < 0:
                 continue
             if change is not None and follower.place == number - 1:
-                follower.link.send_packed(data)
+                follower.link.send_packed("entry", data)
                 follower.place = number
             elif follower.place < number:
                 self.catch_up(follower)
@@ -87,7 +87,7 @@
             data = pack(message)
             for follower in list(self.followers.values()):
                 if follower.place >= 0:
-                    follower.link.send_packed(data)
+                    follower.link.send_packed(message[0], data)
 
     def beat(self, fresh: bool, registrars: list[list[str]], routers: int) -> None:
         """`registrars`: [address, zone] of those that can be followed."""
--- a/plumline/wire/frames.py
+++ b/plumline/wire/frames.py
@@ -113,9 +113,11 @@
             self.on_down(self)
 
     def send(self, message: list[Any]) -> None:
-        self.send_packed(pack(message))
+        self.send_packed(message[0], pack(message))
 
-    def send_packed(self, data: bytes) -> None:
+    def send_packed(self, kind: str, data: bytes) -> None:
+        """`data`: a packed message of this kind."""
+        self.counters.add(f"frames.bytes.{kind}", len(data))
         if self.transport is None or self.transport.is_closing():
             return
         self.transport.write(data)
--- a/plumline/wire/mesh.py
+++ b/plumline/wire/mesh.py
@@ -116,7 +116,7 @@
         if self.links:
             data = pack(message)
             for link in list(self.links.values()):
-                link.send_packed(data)
+                link.send_packed(message[0], data)
 
     def renew(self, address: str) -> None:
         """Ends a link that nothing comes back for; it is opened anew."""
