--- a/plumline/router/following.py
+++ b/plumline/router/following.py
@@ -74,7 +74,7 @@
                 self.leave(source, now, "silent")
             elif source.link is not None and not source.fresh and now - source.fresh_at > STALE:
                 self.leave(source, now, "stale")
-            elif source.task.done():
+            elif source.link is None and source.task.done():
                 del self.sources[address]
         wanted = self.candidates(now)[:SOURCES]
         for address in wanted:
--- a/tests/test_ballot.py
+++ b/tests/test_ballot.py
@@ -70,6 +70,7 @@
         self.last: tuple[tuple[str, int], int, float] | None = None  # life, term, last possible act
         self.owners: dict[int, tuple[str, int]] = {}
         self.loss = self.random.choice([0.0, 0.05, 0.3])
+        self.syncs = self.random.choice([(0.001, 0.01), (0.001, 0.01, 0.2), (0.001, 0.3, 1.5)])
         self.troubles_per_s = self.random.choice([0.5, 1.0, 2.0])
         for node in self.nodes.values():
             self.start(node, formed=True)
@@ -150,7 +151,7 @@
                     for to, message in action.send_after:
                         self.send(node, to, message)
 
-        self.at(self.random.choice([0.001, 0.01, 0.3, 1.5]), synced)
+        self.at(self.random.choice(self.syncs), synced)
 
     def send(self, node: Node, to: str, message: list[Any]) -> None:
         if to == node.name:
--- /dev/null
+++ b/tests/test_following.py
@@ -0,0 +1,168 @@
+"""A router's follower against registrars that a test plays on loopback sockets."""
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from peers import play, soon
+
+from plumline.configuration.state import State
+from plumline.counters import Counters
+from plumline.router import following
+from plumline.router.following import Follower
+from plumline.routing.fleet import Fleet
+from plumline.settings import Settings
+from plumline.wire.frames import FrameLink, hello
+
+DOCUMENT = {
+    "Version": 3,
+    "Routes": [],
+    "Services": [{"Name": "s"}],
+    "Limits": {},
+}
+
+
+class FakeRegistrar:
+    """Takes followers; a test sends them frames and sees what they say."""
+
+    def __init__(self) -> None:
+        self.links: list[FrameLink] = []
+        self.said: asyncio.Queue[list[Any]] = asyncio.Queue()
+        self.up = asyncio.Event()
+        self.downs = 0
+
+    async def listen(self, host: str, port: int) -> int:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.accept, host, port)
+        self.address = self.server.sockets[0].getsockname()
+        return self.address[1]
+
+    def accept(self) -> FrameLink:
+        greeting = hello("r", "registrar", "x", "z")
+        return FrameLink(greeting, self.came, lambda _, m: self.said.put_nowait(m), self.went, Counters())
+
+    def came(self, link: FrameLink) -> None:
+        self.links.append(link)
+        self.up.set()
+
+    def went(self, link: FrameLink) -> None:
+        self.downs += 1
+
+    def close(self) -> None:
+        self.server.close()
+        for each in self.links:
+            each.abort()
+
+
+def settings_for(port: int, *hosts: str) -> Settings:
+    return Settings(
+        node_name="router-1",
+        ip_address="127.0.0.1",
+        internal_ports=(port, port),
+        seed_addresses=tuple((host, 1) for host in hosts),
+    )
+
+
+async def until(condition: Any) -> None:  # noqa: ANN401
+    """Turns of the loop until it holds; the test's own time limit ends it otherwise."""
+    while not condition():
+        await asyncio.sleep(0)
+
+
+@play
+async def test_a_source_that_is_up_is_followed_over_one_connection(tmp_path: Path) -> None:
+    registrar, fleet = FakeRegistrar(), Fleet()
+    port = await registrar.listen("127.0.0.1", 0)
+    follower = Follower(settings_for(port, "127.0.0.1"), fleet, Counters())
+    now = asyncio.get_running_loop().time()
+    follower.look(now)
+    await soon(registrar.up.wait())
+    await soon(until(lambda: all(each.task.done() for each in follower.sources.values())))
+    for step in range(4):
+        follower.look(now + step * following.LOOK)
+    assert list(follower.sources) == [f"127.0.0.1:{port}"]
+    assert await soon(registrar.said.get()) == ["follow", 0]
+    await asyncio.sleep(0)
+    assert (len(registrar.links), registrar.downs) == (1, 0)
+    follower.close()
+    registrar.close()
+
+
+@play
+async def test_entries_are_applied_in_order_and_never_taken_back(tmp_path: Path) -> None:
+    registrar, fleet = FakeRegistrar(), Fleet()
+    port = await registrar.listen("127.0.0.1", 0)
+    follower = Follower(settings_for(port, "127.0.0.1"), fleet, Counters())
+    follower.look(asyncio.get_running_loop().time())
+    await soon(registrar.up.wait())
+    link = registrar.links[0]
+    state = State().apply(["replace", 0, DOCUMENT])
+    link.send(["state", 5, state.to_wire()])
+    link.send(["entry", 6, ["weights", {"Model": "m", "Version": 2}]])
+    link.send(["state", 4, State().to_wire()])
+    link.send(["entry", 6, ["weights", {"Model": "m", "Version": 9}]])
+    link.send(["topic", "roster", [1, 1], []])
+    await soon(until(lambda: "roster" in follower.topics.told))
+    assert (fleet.place, fleet.state.version, fleet.named_version("m")) == (6, 3, 2)
+    # One that came too early is asked for again.
+    link.send(["entry", 9, ["weights", {"Model": "m", "Version": 4}]])
+    assert await soon(registrar.said.get()) == ["follow", 0]
+    assert await soon(registrar.said.get()) == ["follow", 6]
+    assert fleet.place == 6
+    follower.close()
+    registrar.close()
+
+
+@play
+async def test_a_source_that_is_silent_or_not_fresh_is_left_for_another(tmp_path: Path) -> None:
+    silent, well, fleet = FakeRegistrar(), FakeRegistrar(), Fleet()
+    port = await silent.listen("127.0.0.1", 0)
+    await well.listen("127.0.0.2", port)
+    settings = replace(settings_for(port, "127.0.0.1"), heartbeat_interval_ms=100)
+    follower = Follower(settings, fleet, Counters())
+    now = asyncio.get_running_loop().time()
+    follower.look(now)
+    await soon(silent.up.wait())
+    silent.links[0].send(["beat", True, 0, [[f"127.0.0.1:{port}", "a"], [f"127.0.0.2:{port}", "b"]], 4])
+    await soon(until(lambda: fleet.fresh))
+    assert fleet.routers == 4
+    follower.look(now + 0.1)
+    await soon(well.up.wait())
+    well.links[0].send(["beat", True, 0, [[f"127.0.0.1:{port}", "a"], [f"127.0.0.2:{port}", "b"]], 4])
+    await soon(until(lambda: follower.sources[f"127.0.0.2:{port}"].fresh))
+    heard = follower.sources[f"127.0.0.2:{port}"]
+    first = follower.sources[f"127.0.0.1:{port}"]
+    later = now + following.SILENT + 1
+    heard.heard = later
+    follower.look(later)
+    # Out of two, it is tried anew, over another connection.
+    assert follower.sources[f"127.0.0.1:{port}"] is not first
+    assert not first.fresh
+    assert follower.sources[f"127.0.0.2:{port}"] is heard
+    assert fleet.fresh
+    # Not fresh for long enough: left too, and then nobody vouches for what is known.
+    well.links[0].send(["beat", False, 0, [], 4])
+    await soon(until(lambda: not heard.fresh))
+    assert not fleet.fresh
+    heard.heard = later + following.STALE + 2
+    follower.look(later + following.STALE + 2)
+    assert heard.address not in follower.sources or follower.sources[heard.address] is not heard
+    follower.close()
+    silent.close()
+    well.close()
+
+
+@play
+async def test_a_frame_that_cannot_be_applied_ends_the_connection(tmp_path: Path) -> None:
+    registrar, fleet, counters = FakeRegistrar(), Fleet(), Counters()
+    port = await registrar.listen("127.0.0.1", 0)
+    follower = Follower(settings_for(port, "127.0.0.1"), fleet, counters)
+    follower.look(asyncio.get_running_loop().time())
+    await soon(registrar.up.wait())
+    registrar.links[0].send(["state", 5, {"not": "a state"}])
+    await soon(until(lambda: registrar.downs == 1))
+    assert (fleet.place, fleet.state) == (0, None)
+    assert counters.get("frames.frame-invalid") == 1
+    follower.close()
+    registrar.close()
