Move the breaker and the HTTP client into parts that the router shares

Cause: the router needs the sender's circuit breaker and the calling side of HTTP/1.1, and there shall be one copy of each.

The deploy file names the moved files. pyproject.toml finds both packages and depends on what requirements.txt pins. The size test counted rules.py alone, which the move would have let grow by what left it; it now counts all decision files together against the same 800 lines.

--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -14,10 +14,10 @@
 from elmglade.net.control import Control
 from elmglade.net.discovery import Listed
 from elmglade.net.handover import come_into
-from elmglade.net.http import address_from
 from elmglade.net.loop import Loop
 from elmglade.net.sender import AGAIN, Sender
 from elmglade.settings import settings_from
+from plumline.wire.http import address_from
 
 MEGABYTE = 1_000_000
 
--- a/elmglade/net/client.py
+++ b/elmglade/net/client.py
@@ -11,9 +11,9 @@
 import h11
 
 from elmglade.interface import NEVER_RAN, Outcome
-from elmglade.net.http import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
 from elmglade.net.message import HandedIn
 from elmglade.net.reuse import Reuse
+from plumline.wire.http import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
 
 IDLE_SHARE = 0.8  # of the receiver's idle limit: a kept connection is dropped that much earlier
 BODY_PATIENCE = 0.5  # s for the rest of an answer whose head has come; the body means nothing
--- a/elmglade/net/config.py
+++ b/elmglade/net/config.py
@@ -7,7 +7,7 @@
 
 from elmglade import interface as face
 from elmglade.net.discovery import Listed
-from elmglade.net.http import Address
+from plumline.wire.http import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/elmglade/net/control.py
+++ b/elmglade/net/control.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Callable
 
-from elmglade.net.http import Address
+from plumline.wire.http import Address
 
 BACKLOG = 128
 LINE_LIMIT = 256  # bytes of a call
--- a/elmglade/net/discovery.py
+++ b/elmglade/net/discovery.py
@@ -11,7 +11,7 @@
 import h11
 
 from elmglade import interface as face
-from elmglade.net.http import BROKEN, Address, Connection, address_from
+from plumline.wire.http import BROKEN, Address, Connection, address_from
 
 # What discovery holds counts as told 6 s later, and 4 s after SIGHUP, whether it has arrived or not:
 SILENCE = 3.0  # s with no line, empty ones come every 2 s: the watch is dead, though TCP says nothing
--- a/elmglade/net/handover.py
+++ b/elmglade/net/handover.py
@@ -16,7 +16,7 @@
 from pathlib import Path
 from typing import Any
 
-from elmglade.net.http import readable
+from plumline.wire.http import readable
 
 ASK = b"hand over, please\n"
 FRAME = struct.Struct("!I?")  # bytes of its text; whether a descriptor comes with it
--- a/elmglade/net/server.py
+++ b/elmglade/net/server.py
@@ -15,9 +15,9 @@
 import h11
 
 from elmglade.interface import Effect, MessageClass
-from elmglade.net.http import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, decimal, header
 from elmglade.net.loop import polls_of
 from elmglade.net.message import HandedIn
+from plumline.wire.http import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, decimal, header
 
 READY = "/health/ready"
 # A client that cannot be served is owed an error or a close within 3 s of connecting.
--- /dev/null
+++ b/plumline/breaker/__init__.py
@@ -0,0 +1,1 @@
+"""The circuit breaker of one destination, the one copy of the sender and the router."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -10,10 +10,10 @@
 from helpers import ENV
 
 from elmglade.__main__ import config_from
-from elmglade.net.http import Address
 from elmglade.net.loop import Loop
 from elmglade.net.message import HandedIn
 from elmglade.net.sender import Sender
+from plumline.wire.http import Address
 
 PATIENCE = 20.0  # s; only a failing test waits so long
 READY = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -5,7 +5,7 @@
 
 from elmglade import interface as face
 from elmglade.interface import Outcome
-from elmglade.rules import FAILURE_THRESHOLD, RESET_TIMEOUT
+from plumline.breaker.breaker import FAILURE_THRESHOLD, RESET_TIMEOUT
 
 
 def test_opens_at_the_threshold_and_holds() -> None:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -13,10 +13,10 @@
 
 from elmglade.interface import Outcome
 from elmglade.net import client as module
-from elmglade.net import http
 from elmglade.net.client import Answer, Client, answer_from
-from elmglade.net.http import Address, Connection
 from elmglade.net.reuse import Reuse
+from plumline.wire import http
+from plumline.wire.http import Address, Connection
 
 ANSWERS = [
     ("200", (), Answer(Outcome.OK, finished=True)),
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -6,8 +6,8 @@
 
 from peers import READY, World, ask, host, message, play, soon, tell
 
-from elmglade.net.http import Address
 from elmglade.net.journal import Journal
+from plumline.wire.http import Address
 
 
 class Watched(World):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,6 +1,7 @@
 """The module's size, and its answers to bad input."""
 
 import copy
+import tomllib
 from dataclasses import replace
 from pathlib import Path
 
@@ -10,15 +11,27 @@
 from elmglade import interface as face
 from elmglade.settings import settings_from
 
-MODULE = Path(__file__).parent.parent / "elmglade" / "rules.py"
+ROOT = Path(__file__).parent.parent
+DEPLOYED = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+PROJECT = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
 
 
-def test_module_keeps_to_its_size() -> None:
-    lines = MODULE.read_text().splitlines()
+def test_the_decision_files_keep_to_their_size() -> None:
+    """All of them together: decisions that move to another file count on."""
+    assert {"elmglade/rules.py", "plumline/breaker/breaker.py"} <= set(DEPLOYED["policy"])
+    lines = [line for name in DEPLOYED["policy"] for line in (ROOT / name).read_text().splitlines()]
     assert sum(1 for line in lines if line.strip()) <= 800
     assert max(map(len, lines)) <= 110
 
 
+def test_what_the_deployment_names_is_here() -> None:
+    assert [name for name in DEPLOYED["policy"] + DEPLOYED["node"] if not (ROOT / name).exists()] == []
+
+
+def test_the_package_depends_on_what_is_pinned() -> None:
+    assert PROJECT["dependencies"] == (ROOT / "requirements.txt").read_text().split()
+
+
 @pytest.mark.parametrize("name", ["slots", "max_open", "max_attempts", "tick", "cold_from", "key_quiet"])
 def test_contradictory_settings_are_named(name: str) -> None:
     with pytest.raises(ValueError, match=name):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,7 +5,8 @@
 
 from elmglade import interface as face
 from elmglade.interface import Outcome
-from elmglade.rules import AGE_CHECK, COLD_PUSH, IDLE_AGE
+from elmglade.rules import AGE_CHECK, IDLE_AGE
+from plumline.breaker.breaker import COLD_PUSH
 
 
 def test_held_message_is_ended_before_its_time() -> None:
