Give the HTTP client's errors codes, and the names of the standard terms

Cause: Spoilt was no PlumlineError, was exempted from the naming rule, and its `status` would have hidden the one that every PlumlineError has.

--- a/elmglade/net/client.py
+++ b/elmglade/net/client.py
@@ -13,7 +13,15 @@
 from elmglade.interface import NEVER_RAN, Outcome
 from elmglade.net.message import HandedIn
 from elmglade.net.reuse import Reuse
-from plumline.wire.http import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
+from plumline.wire.http import (
+    BODY_LIMIT,
+    BROKEN,
+    Address,
+    Connection,
+    ResponseMalformedError,
+    decimal,
+    header,
+)
 
 IDLE_SHARE = 0.8  # of the receiver's idle limit: a kept connection is dropped that much earlier
 BODY_PATIENCE = 0.5  # s for the rest of an answer whose head has come; the body means nothing
@@ -126,9 +134,9 @@
         except TimeoutError:
             flight.given_up = flight.written
             return Answer(Outcome.TIMEOUT if flight.written else Outcome.CONNECT_FAILED, wait=flight.wait)
-        except Spoilt as error:
+        except ResponseMalformedError as error:
             # It may have run; a first line of 200 is true all the same.
-            if error.status == 200:
+            if error.said == 200:
                 return Answer(Outcome.OK, finished=True)
             return Answer(Outcome.SPOILT, wait=flight.wait)
         except BROKEN:
@@ -183,7 +191,7 @@
             flight.wait = answer.wait
             self.wait_told(endpoint, answer.wait)
         if int(header(response.headers, b"content-length") or 0) > BODY_LIMIT:
-            raise Spoilt(response.status_code, "the answer is too long")
+            raise ResponseMalformedError(response.status_code, "the answer is too long")
         if answer.outcome in NEVER_RAN:
             # A spoilt answer has run, whatever it says: only a whole one proves that it has not.
             async with asyncio.timeout(BODY_PATIENCE):
--- a/plumline/wire/http.py
+++ b/plumline/wire/http.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from plumline.errors import PlumlineError
+
 HEADER_LIMIT = 16 * 1024
 BODY_LIMIT = 64 * 1024
 READ_SIZE = 64 * 1024
@@ -20,22 +22,31 @@
 Address = tuple[str, int]
 
 
-class Spoilt(Exception):  # noqa: N818
-    """An answer that cannot be read. `status` is what its first line still says, 0 if it says nothing."""
+class AddressInvalidError(PlumlineError, ValueError):
+    """What should be host:port is not."""
+
+    code, status = "address-invalid", 400
+
+
+class ResponseMalformedError(PlumlineError):
+    """An answer that cannot be read. `said` is the status in its first line, 0 if that says none."""
+
+    code, status = "response-malformed", 502
 
-    def __init__(self, status: int, text: str) -> None:
+    def __init__(self, said: int, text: str) -> None:
         super().__init__(text)
-        self.status = status
+        self.said = said
 
 
 #: What a broken connection or an unreadable answer raises.
-BROKEN = (OSError, Spoilt)
+BROKEN = (OSError, ResponseMalformedError)
 
 
 def address_from(text: str) -> Address:
+    """The address that "host:port" names; AddressInvalidError for any other text."""
     host, found, port = text.rpartition(":")
     if not found or not host or not (port.isascii() and port.isdecimal()) or int(port[:6]) > 65535:
-        raise ValueError(f"{text!r} is not host:port")
+        raise AddressInvalidError(f"{text!r} is not host:port")
     return host, int(port)
 
 
@@ -136,7 +147,7 @@
         try:
             event = self.codec.next_event()
         except h11.ProtocolError as error:
-            raise Spoilt(int(first[1]) if first else 0, str(error)) from None
+            raise ResponseMalformedError(int(first[1]) if first else 0, str(error)) from None
         if event is h11.NEED_DATA and not ended:
             return None
         if isinstance(event, h11.ConnectionClosed) or not isinstance(event, h11.Event):
@@ -173,14 +184,14 @@
                         self.size = 0
                         return event
         except TimeoutError:
-            raise Spoilt(0, "the head does not end") from None
-        raise Spoilt(0, "too many interim answers")
+            raise ResponseMalformedError(0, "the head does not end") from None
+        raise ResponseMalformedError(0, "too many interim answers")
 
     def says_ok(self) -> bool:
         """The first line of a head that is not here to its end. Noise is found here: it never ends."""
         unread = self.codec.trailing_data[0]
         if not (unread.startswith(BEGINNING) or BEGINNING.startswith(unread)):
-            raise Spoilt(0, "not an answer")
+            raise ResponseMalformedError(0, "not an answer")
         first = FIRST_LINE.match(unread)
         return first is not None and int(first[1]) == 200
 
@@ -191,7 +202,7 @@
                 return True
             self.size += len(event.data) if isinstance(event, h11.Data) else 0
             if self.size > BODY_LIMIT:
-                raise Spoilt(0, "the answer is too long")
+                raise ResponseMalformedError(0, "the answer is too long")
         return False
 
     async def skip_body(self) -> None:
