--- a/plumline/coordination/chain.py
+++ b/plumline/coordination/chain.py
@@ -16,8 +16,9 @@
 from plumline.coordination.view import View
 from plumline.errors import PlumlineError, UnavailableError
 
-KEPT_ENTRIES = 512  # committed entries kept in memory for those that follow; who is further behind gets the
-state TICK = 0.2  # s between reports to the predecessor
+#: Committed entries kept in memory for those that follow; who is further behind gets the state.
+KEPT_ENTRIES = 512
+TICK = 0.2  # s between reports to the predecessor
 Answer = Callable[[PlumlineError | None], None]  # None: committed
 
 
@@ -44,8 +45,8 @@
         self.committed = self.last = self.synced = 0
         self.caught_up = False  # holds all that this view's predecessor held as it began
         self.floor: int | None = None  # number from which on it is
-        self.life = 0  # rises when entries are dropped or replaced: what was being written then counts no
-        more self.waiting: dict[int, list[tuple[Answer, PlumlineError | None]]] = {}
+        self.life = 0  # rises when entries are dropped or replaced: what was being written counts no more
+        self.waiting: dict[int, list[tuple[Answer, PlumlineError | None]]] = {}
         self.reported = -1  # `last` that the successor told on its newest report
         self.tick_at = 0.0
         self.checks: dict[int, tuple[set[str], list[Callable[[Any], None]]]] = {}  # reads by nonce
