--- a/plumline/cli.py
+++ b/plumline/cli.py
@@ -97,9 +97,7 @@
 @AS_JSON
 def check_configuration(path: str, as_json: bool) -> None:
     """A whole configuration (JSON), as `configuration replace` sends it."""
-    from plumline.configuration import document
-
-    report_faults(faults_by(lambda path: document.check(document.parse(read_file(path))), path), as_json)
+    report_faults(faults_by(whole_document, path), as_json)
 
 
 @check.command("deploy")
@@ -115,6 +113,15 @@
         return file.read()
 
 
+def whole_document(path: str) -> dict[str, Any]:
+    """The valid configuration in the file; ConfigurationInvalidError names every fault."""
+    from plumline.configuration import document
+
+    found = document.parse(read_file(path))
+    document.check(found)
+    return found
+
+
 def faults_by(test: Callable[[str], Any], path: str) -> list[str]:
     """The faults, a line each, that `test` raises for the file."""
     try:
@@ -261,7 +268,10 @@
     name = "IP:PORT"
 
     def convert(
-        self, value: Any, param: click.Parameter | None, ctx: click.Context | None  # noqa: ANN401
+        self,
+        value: Any,  # noqa: ANN401
+        param: click.Parameter | None,
+        ctx: click.Context | None,
     ) -> Address:
         from plumline.configuration import ADDRESS, address
 
@@ -319,14 +329,7 @@
     path: str, addresses: tuple[Address, ...], based_on: int, patience: float, as_json: bool
 ) -> None:
     """Puts a whole configuration in place. It is checked here before it is sent."""
-    from plumline.configuration import document
-
-    def checked(path: str) -> dict[str, Any]:
-        found = document.parse(read_file(path))
-        document.check(found)
-        return found
-
-    change("configuration_replace", checked, path, addresses, based_on, patience, as_json)
+    change("configuration_replace", whole_document, path, addresses, based_on, patience, as_json)
 
 
 @configuration.command("amend")
@@ -354,10 +357,8 @@
 @AS_JSON
 def configuration_diff(path: str, addresses: tuple[Address, ...], patience: float, as_json: bool) -> None:
     """What a `replace` by FILE would change; exit 0: nothing, 1: something. Keys of tenants stay hidden."""
-    from plumline.configuration import document
-
     try:
-        wanted = document.parse(read_file(path))
+        wanted = whole_document(path)
     except PlumlineError as error:
         stop(error, EXIT_FAULTS)
     found = list(differences(present(addresses, patience), wanted))
@@ -454,6 +455,8 @@
     for field in dict.fromkeys([*old, *new]):
         if old.get(field) != new.get(field):
             before, after = (hidden({field: each.get(field)})[field] for each in (old, new))
+            if field == "ApiKeys" and old.get(field) and new.get(field):
+                after += f", {len(set(new[field]) - set(old[field]))} of them new"
             yield {"key": f"{key}.{field}", "before": before, "after": after}
 
 
--- a/plumline/coordination/core.py
+++ b/plumline/coordination/core.py
@@ -40,7 +40,7 @@
         self.views = Views(me, effects, self.installed)
         self.chain = Chain(me, copies, effects, empty, load, applied)
         self.contacts = Contacts(me, effects)
-        self.keeper = Keeper(me, self.views, self.contacts, chance)
+        self.keeper = Keeper(me, self.views, self.contacts, chance, copies)
         self.formation = Formation(me, seeds, first_start, effects, self.views, known_elsewhere)
         self.ballots = Ballots(me[0], leases, now, chance)
         self.sick = False
--- a/plumline/coordination/keeper.py
+++ b/plumline/coordination/keeper.py
@@ -16,8 +16,12 @@
 
 
 class Keeper:
-    def __init__(self, me: Member, views: Views, contacts: Contacts, chance: random.Random) -> None:
+    def __init__(
+        self, me: Member, views: Views, contacts: Contacts, chance: random.Random, copies: int
+    ) -> None:
+        """`copies`: of what is acknowledged; twice that less one acceptors are enough."""
         self.me, self.views, self.contacts, self.chance = me, views, contacts, chance
+        self.copies = copies
         self.leaving = False
         self.wanting: tuple[int, tuple[Member, ...], tuple[Member, ...]] | None = None
         self.since = 0.0
@@ -72,22 +76,19 @@
     def acceptors(
         self, now: float, view: View, chain: tuple[Member, ...], learner: Member | None
     ) -> tuple[Member, ...]:
-        found = list(view.acceptors)
-        if learner and learner not in found:
-            same = [each for each in found if each[0] == learner[0]]
-            silent = [
-                each
-                for each in found
-                if each not in chain and self.contacts.unheard_for(now, each[0]) > SUSPECT_AFTER
-            ]
-            if same or silent:
-                found.remove((same or silent)[0])
-            found.append(learner)
+        """One acceptor comes or goes in one view, or changes its incarnation: what leases rest on needs that
+        majorities of two views in a row meet."""
+        if learner and learner not in view.acceptors:
+            same = [each for each in view.acceptors if each[0] == learner[0]]
+            return (*(each for each in view.acceptors if each not in same), learner)
+        surplus = len(view.acceptors) > 2 * self.copies - 1
         for each in view.acceptors:
-            gone = each in found and each not in chain and each != self.me
-            if gone and self.contacts.unheard_for(now, each[0]) > GONE_AFTER and len(found) > 1:
-                found.remove(each)
-        return tuple(found)
+            silent = self.contacts.unheard_for(now, each[0])
+            if each in chain or each == self.me or len(view.acceptors) < 2:
+                continue
+            if silent > (SUSPECT_AFTER if surplus else GONE_AFTER):
+                return tuple(other for other in view.acceptors if other != each)
+        return view.acceptors
 
     def tick(self, now: float, synced: int) -> None:
         wanted = self.wanted(now, synced)
--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from plumline import logs
+from plumline.configuration.routes import RouteTable
 from plumline.configuration.state import State
 from plumline.coordination.ballot import Terms
 from plumline.coordination.core import Core
@@ -16,8 +17,9 @@
 from plumline.coordination.view import View
 from plumline.counters import Counters
 from plumline.registrar.discovery import Discovery
-from plumline.registrar.feeding import Feed
+from plumline.registrar.feeding import Feed, Work
 from plumline.registrar.operators import Operators
+from plumline.registrar.stores import Stores
 from plumline.registrar.weights import Weights
 from plumline.settings import Settings
 from plumline.store.records import RecordFile
@@ -92,11 +94,18 @@
         self.core.restore(records)
         self.operators = Operators(self.core, self.send, self.counters)
         self.zones: dict[str, str] = {self.address: settings.zone}  # of registrars, by address
-        self.elsewhere: dict[str, tuple[float, list[str]]] = {}  # followers of other registrars
+        self.elsewhere: dict[str, tuple[float, dict[str, Work]]] = {}  # followers of other registrars
         self.caller = Caller(self.loop.time)
         self.discovery = Discovery(
             settings, self.caller, lambda: self.held("discovery") is not None, self.found_endpoints
         )
+        self.stores = Stores(
+            self.caller,
+            self.store_addresses,
+            lambda: self.held("discovery") is not None,
+            self.found_stores,
+            self.loop.time,
+        )
         self.weights = Weights(
             self.caller,
             settings.node_name,
@@ -110,6 +119,8 @@
         self.server: Server | None = None
         self.stopping = asyncio.Event()
         self.holding: dict[str, int | None] = {}
+        self.addresses_of: dict[str, Any] | None = None  # the configuration that `addresses` are from
+        self.addresses: dict[str, tuple[str, int]] = {}
 
     # The store.
 
@@ -145,8 +156,8 @@
             match message:
                 case ["topic", str(name), [int(term), int(count)], payload]:
                     self.take_topic(name, (term, count), payload)
-                case ["followers", list(names)]:
-                    self.elsewhere[sender] = now, [str(each) for each in names]
+                case ["followers", dict(routers)]:
+                    self.elsewhere[sender] = now, routers
                 case ["news", str(), list()]:
                     self.feed.pass_news(message)
                 case ["hurry"]:
@@ -202,6 +213,18 @@
             self.tell_topic("roster", term, roster)
             self.weights.poke()
 
+    def store_addresses(self) -> dict[str, tuple[str, int]]:
+        document = self.core.chain.state.configuration
+        if document is not self.addresses_of:
+            self.addresses_of = document
+            stores = RouteTable(document).stores if document else {}
+            self.addresses = {name: each.store_address for name, each in stores.items() if each.store_address}
+        return self.addresses
+
+    def found_stores(self, stores: dict[str, dict[str, Any]]) -> None:
+        if (term := self.held("discovery")) is not None:
+            self.tell_topic("stores", term, stores)
+
     def publish_marks(self, marks: dict[str, dict[str, Any]]) -> None:
         if (term := self.held("weights")) is not None:
             self.tell_topic("marks", term, marks)
@@ -214,6 +237,7 @@
     def applied(self, number: int, change: list[Any] | None) -> None:
         self.feed.applied(number, change)
         self.weights.poke()
+        self.stores.wake()
 
     def view_changed(self, view: View) -> None:
         chain = ",".join(address for address, _ in view.chain)
@@ -250,6 +274,7 @@
                 self.holding[name] = held
                 log.info(logs.words("lease", name=name, term=held))
                 self.discovery.wake()
+                self.stores.wake()
                 self.weights.poke()
 
     def beat(self, now: float) -> None:
@@ -262,14 +287,14 @@
         followed = [[address, self.zones.get(address, "")] for address in known]
         self.feed.beat(self.core.fresh(now), followed, self.routers(now))
 
-    def routers(self, now: float) -> int:
-        """Routers alive anywhere, as far as told."""
+    def routers(self, now: float) -> dict[str, Work]:
+        """Routers alive anywhere, as far as told, and their work."""
         patience = self.feed.patience + 1.0
-        found = set(self.feed.alive(now))
-        for at, names in self.elsewhere.values():
+        found: dict[str, Work] = {}
+        for at, routers in self.elsewhere.values():
             if now - at < patience:
-                found.update(names)
-        return max(len(found), 1)
+                found.update(routers)
+        return found | self.feed.alive(now)
 
     async def run(self) -> None:
         """Until SIGTERM."""
@@ -285,7 +310,12 @@
         log.info(logs.words("started", node=settings.node_name, incarnation=self.core.me[1]))
         work = [
             self.loop.create_task(each)
-            for each in (self.step_forever(), self.discovery.run(), self.weights.run())
+            for each in (
+                self.step_forever(),
+                self.discovery.run(),
+                self.stores.run(),
+                self.weights.run(),
+            )
         ]
         stop = self.loop.create_task(self.stopping.wait())
         done, _ = await asyncio.wait([*work, stop], return_when=asyncio.FIRST_COMPLETED)
--- a/plumline/registrar/feeding.py
+++ b/plumline/registrar/feeding.py
@@ -1,6 +1,6 @@
 """The feed to routers: a numbered history of changes from a place on, soft topics, and beats."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from plumline.coordination.chain import Chain
@@ -11,6 +11,8 @@
 
 SILENT_HEARTBEATS = 3  # of its interval, after which a follower no longer counts as alive
 
+Work = dict[str, list[float]]  # by service: ms of endpoints' time a second for short and for long requests
+
 
 @dataclass(slots=True)
 class Follower:
@@ -18,6 +20,7 @@
     node: str
     place: int = -1  # number of the newest entry it was sent; -1: it has not asked yet
     heard: float = 0.0
+    work: Work = field(default_factory=dict)
     primary: bool = False  # takes its news of prompts from here
 
 
@@ -51,8 +54,8 @@
                     link.send(each)
             case ["primary", bool(primary)]:
                 follower.primary = primary
-            case ["heartbeat", *_]:
-                pass
+            case ["heartbeat", int(), dict(work)]:
+                follower.work = work
             case _:
                 raise FrameError(f"a follower does not say {message[0]!r}")
 
@@ -99,11 +102,20 @@
             if follower.primary and follower.link is not origin:
                 follower.link.send_packed("news", data)
 
-    def beat(self, fresh: bool, registrars: list[list[str]], routers: int) -> None:
-        """`registrars`: [address, zone] of those that can be followed."""
-        self.send_all(["beat", fresh, self.chain.committed, registrars, routers])
-
-    def alive(self, now: float) -> list[str]:
-        return sorted({each.node for each in self.followers.values() if now - each.heard < self.patience})
+    def beat(self, fresh: bool, registrars: list[list[str]], routers: dict[str, Work]) -> None:
+        """`registrars`: [address, zone] of those that can be followed; `routers`: all that are alive."""
+        work: Work = {}
+        for each in routers.values():
+            for service, rates in each.items():
+                known = work.setdefault(service, [0.0, 0.0])
+                work[service] = [round(a + b, 1) for a, b in zip(known, rates, strict=True)]
+        count = max(len(routers), 1)
+        self.send_all(["beat", fresh, self.chain.committed, registrars, count, work])
+
+    def alive(self, now: float) -> dict[str, Work]:
+        """The work of each follower that was heard of late, by name."""
+        return {
+            each.node: each.work for each in self.followers.values() if now - each.heard < self.patience
+        }
 
 
--- a/plumline/router/app.py
+++ b/plumline/router/app.py
@@ -39,6 +39,8 @@
             settings, self.fleet, self.counters, self.loop.time, budget=self.budget
         )
         self.dispatcher.tell = self.follower.tell
+        self.follower.work = self.dispatcher.work_rates
+        self.follower.on_work = self.dispatcher.told_work
         self.follower.on_news = self.dispatcher.told_news
         self.server = Server(
             self.dispatcher.handle,
--- a/plumline/router/dispatch.py
+++ b/plumline/router/dispatch.py
@@ -155,7 +155,7 @@
             for each in listed.values():
                 self.by_service.setdefault(each.service, []).append(each)
             for service, at in self.by_service.items():
-                usable = [each.id for each in at if not each.draining]
+                usable = [each.id for each in at if not (each.draining or each.moving)]
                 self.lanes.setdefault(service, Lanes()).set_endpoints(service, usable)
             self.lanes = {name: each for name, each in self.lanes.items() if name in self.by_service}
             self.pool.sweep(now, listed)
@@ -165,6 +165,17 @@
                 for key in [key for key in known if key not in listed]:
                     del known[key]
 
+    def work_rates(self) -> dict[str, list[float]]:
+        """This router's work by service, for its heartbeats: [short, long] in ms a second."""
+        now = self.clock()
+        return {name: [round(rate, 1) for rate in each.work.rates(now)] for name, each in self.lanes.items()}
+
+    def told_work(self, work: dict[str, list[float]]) -> None:
+        """The whole fleet's."""
+        for name, (short, long) in work.items():
+            if lanes := self.lanes.get(name):
+                lanes.fleet = short, long
+
     def told_stores(self, stores: dict[str, dict[str, Any]]) -> None:
         """{name: {"up": bool, "epoch": int}}: one that was down, or began anew, holds nothing any more."""
         for name, each in stores.items():
--- a/plumline/router/following.py
+++ b/plumline/router/following.py
@@ -57,6 +57,8 @@
         self.state = State()
         self.news: list[list[Any]] = []  # of this router's prompts, not yet sent
         self.on_news: Callable[[str, list[Any]], None] = lambda node, events: None
+        self.work: Callable[[], dict[str, list[float]]] = dict  # this router's, for heartbeats
+        self.on_work: Callable[[dict[str, list[float]]], None] = lambda work: None  # the fleet's
         self.primary: Source | None = None  # the one over which news come and go
         self.greeting = hello(
             settings.node_name, "router", f"{settings.ip_address}:{port}", settings.zone
@@ -173,9 +175,10 @@
         now = source.heard = self.loop.time()
         try:
             match message:
-                case ["beat", bool(fresh), int(_), list(registrars), int(routers)]:
+                case ["beat", bool(fresh), int(_), list(registrars), int(routers), dict(work)]:
                     source.fresh = fresh
                     if fresh:
+                        self.on_work(work)
                         source.fresh_at = now
                         self.registrars = {str(address): str(zone) for address, zone in registrars}
                         if routers != self.fleet.routers:
@@ -224,7 +227,7 @@
     def heartbeat(self) -> None:
         for each in self.sources.values():
             if each.link is not None:
-                each.link.send(["heartbeat", self.fleet.place])
+                each.link.send(["heartbeat", self.fleet.place, self.work()])
 
     def hurry(self) -> None:
         """An endpoint seems to be gone: the list is worth a look."""
--- a/plumline/routing/lanes.py
+++ b/plumline/routing/lanes.py
@@ -1,10 +1,10 @@
 """Lanes: which endpoints of a service long prompts go to, and which are kept for short ones.
 
-A short request that comes behind a long prompt waits for its reading, and a router sees only what it sent
-itself. So all routers order a service's endpoints alike (rendezvous hash) and send long prompts to the first
-of them, as many as their share of the work needs; short ones go to the others. Neither is forced: it is a
+A short request that comes behind a long prompt waits for its reading, and a router sees only a part of what
+is on its way. So all routers order a service's endpoints alike (rendezvous hash) and keep as many as the
+short requests of the whole fleet need for those; long prompts go to the others. Neither is forced: it is a
 cost in ms. Within the long lane a prompt has a home by its last shared part, so that one endpoint reads that
-part for all routers.
+part first.
 
 Pure; times are steady seconds, work is ms of an endpoint's time.
 """
@@ -17,56 +17,65 @@
 from plumline.routing.loads import Part
 
 LONG_SHARE = 1 / 8  # of the service's shortest aim: a prompt that takes longer to read is a long one
-TOKEN_MS = 0.5  # of an endpoint's time that one token put out takes in a batch
+TOKEN_MS = 0.2  # of an endpoint's time that one token put out takes in a batch
 MEMORY_S = 10.0  # s over which the work is remembered
+SHORT_USE = 0.45  # of its time that an endpoint of the short lane may be busy: the rest is for clumps
 SHORT_ASTRAY_MS = 60.0  # what a short request may expect to wait in the long lane, seen by nobody here
-LONG_ASTRAY_MS = 250.0  # what a long prompt costs the short requests of their lane
+LONG_ASTRAY_MS = 2000.0  # what a long prompt costs the short requests of their lane
 AWAY_MS = 20.0  # what reading away from home costs: the part is moved there, or read twice
 
+Rates = tuple[float, float]  # ms of endpoints' time a second: for short requests, for long ones
+
 
 @dataclass(slots=True)
 class Work:
-    """Work of late by length, fading over MEMORY_S."""
+    """This router's work of late by length, fading over MEMORY_S."""
 
-    long: float = 0.0
     short: float = 0.0
+    long: float = 0.0
     at: float = 0.0
 
     def add(self, now: float, ms: float, long: bool) -> None:
-        fade = math.exp(-max(now - self.at, 0.0) / MEMORY_S)
-        self.long, self.short, self.at = self.long * fade, self.short * fade, now
+        self.fade(now)
         if long:
             self.long += ms
         else:
             self.short += ms
 
-    def long_share(self) -> float:
-        total = self.long + self.short
-        return self.long / total if total else 0.0
+    def fade(self, now: float) -> None:
+        share = math.exp(-max(now - self.at, 0.0) / MEMORY_S)
+        self.short, self.long, self.at = self.short * share, self.long * share, now
+
+    def rates(self, now: float) -> Rates:
+        self.fade(now)
+        return self.short / MEMORY_S, self.long / MEMORY_S
 
 
 @dataclass(slots=True)
 class Lanes:
-    """The lanes of one service as this router sees them."""
+    """The lanes of one service. `fleet` are the rates of all routers together, the same for each of them."""
 
     work: Work = field(default_factory=Work)
+    fleet: Rates = (0.0, 0.0)
     order: list[str] = field(default_factory=list)
 
     def set_endpoints(self, service: str, ids: Iterable[str]) -> None:
         self.order = sorted(ids, key=lambda each: weight(service, each))
 
     def split(self) -> int:
-        """How many of `order` make the long lane: at least one for each length that is asked for."""
-        count, share = len(self.order), self.work.long_share()
-        if share in (0.0, 1.0) or count < 2:
+        """How many of `order` make the long lane: what the short requests leave, at least one for each."""
+        count, (short, long) = len(self.order), self.fleet
+        if not short or not long or count < 2:
             return count
-        return min(max(round(count * share), 1), count - 1)
+        needed = math.ceil(short / 1000 / SHORT_USE)
+        return count - min(max(needed, 1), count - 1)
 
     def astray_ms(self, endpoint: str, long: bool) -> float:
         """The cost of sending a request of this length to `endpoint`."""
-        if self.work.long_share() in (0.0, 1.0) or endpoint not in self.order:
+        split = self.split()
+        if split == len(self.order) or endpoint not in self.order:
             return 0.0
-        in_long_lane = self.order.index(endpoint) < self.split()
+        in_long_lane = self.order.index(endpoint) < split
         if in_long_lane is long:
             return 0.0
         return LONG_ASTRAY_MS if long else SHORT_ASTRAY_MS
--- a/tests/core_world.py
+++ b/tests/core_world.py
@@ -71,6 +71,10 @@
     offset: float = 0.0  # of its steady clock
     lost: bool = False  # lost its disk, and is not yet a caught-up member of the chain again
     known_elsewhere: bool = False
+    starting: bool = False  # its incarnation is being written
+
+    def knows_view(self) -> bool:
+        return any(record[0] == "view" for record in (*self.disk, *(each for each, _ in self.unsynced)))
 
     @property
     def me(self) -> Member:
@@ -118,11 +122,12 @@
         start: bool = True,
         any_wipe: bool = False,
         sync_first: bool = True,
+        identity_first: bool = True,
         mutate: Callable[[Core], None] = lambda core: None,
     ) -> None:
         """`any_wipe`: a disk may also be lost where no other caught-up member is up in the newest chain."""
         self.seed, self.copies, self.first_start, self.mutate = seed, copies, first_start, mutate
-        self.any_wipe, self.sync_first = any_wipe, sync_first
+        self.any_wipe, self.sync_first, self.identity_first = any_wipe, sync_first, identity_first
         self.random = Random(seed)
         self.now = 0.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -175,14 +180,33 @@
     # A node
 
     def start(self, node: Node) -> None:
-        if node.core is not None:
+        """A machine with an empty disk first writes its new incarnation; only a synced one is told."""
+        if node.core is not None or node.starting:
             return
         node.life += 1
+        if node.disk:
+            self.start_core(node)
+            return
+        node.incarnations += 1
+        if not self.identity_first:
+            self.start_core(node)
+            node.core.effects.persist(["incarnation", node.me[1]], nothing)
+            return
+        node.starting = True
+        life = node.life
+
+        def synced() -> None:
+            if node.life == life:
+                node.starting = False
+                node.disk.append(["incarnation", node.me[1]])
+                self.start_core(node)
+
+        self.at(self.random.choice(self.syncs), synced)
+
+    def start_core(self, node: Node) -> None:
         node.held_back.clear()
         node.thaws_at = 0.0
         node.offset = self.random.uniform(0, 1000)
-        if not node.disk:
-            node.incarnations += 1
         core = node.core = Core(
             node.me,
             self.seeds,
@@ -199,7 +223,7 @@
             lambda: node.known_elsewhere,
         )
         self.mutate(core)
-        core.restore([list(record) for record in node.disk])
+        core.restore([list(record) for record in node.disk if record[0] != "incarnation"])
         self.compare(node)
         life = node.life
         self.at(self.random.random() * TICK_S, lambda: self.tick(node, life))
@@ -244,7 +268,8 @@
             if first is item:
                 break
         if node.core and not node.unsynced and self.random.random() < 0.03 and self.now >= node.thaws_at:
-            node.disk = [list(record) for record in node.core.records()]  # rewritten, as it got long
+            image = [["incarnation", node.me[1]], *node.core.records()]
+            node.disk = [list(record) for record in image]  # rewritten, as it got long
         self.after(node)
 
     def send(self, sender: str, to: str, message: Message) -> None:
@@ -280,17 +305,20 @@
 
     def crash(self, node: Node, keep: int | None = None) -> None:
         """Ends the process; of what was not synced, the first `keep` records are there all the same."""
+        node.starting = False
+        node.life += 1
         if node.core is None:
             return
         kept = self.random.randint(0, len(node.unsynced)) if keep is None else keep
         node.disk += [record for record, _ in node.unsynced[:kept]]
         node.unsynced = []
         node.core = None
-        node.life += 1
 
     def wipe(self, node: Node) -> None:
         self.crash(node)
         node.disk, node.lost = [], True
+        if list(self.views) == [1] and not any(each.knows_view() for each in self.nodes.values()):
+            self.views = {}  # nobody else took part: it may be formed anew
 
     def freeze(self, node: Node, seconds: float) -> None:
         node.thaws_at = self.now + seconds
@@ -432,7 +460,12 @@
             self.compare(node)
 
     def note(self, node: Node, number: int, name: str) -> None:
-        if self.committed.setdefault(number, name) != name:
+        if number not in self.committed:
+            self.committed[number] = name
+            copies = [each.name for each in self.nodes.values() if name in on_disk(each)]
+            if len(copies) < self.copies:
+                raise ViolationError(f"{name} is committed and only on the disks of {copies}")
+        if self.committed[number] != name:
             raise ViolationError(f"{node.name} commits {name} as {number}, another {self.committed[number]}")
         if name in self.refused:
             raise ViolationError(f"{name}, which was refused, is in force")
@@ -450,9 +483,6 @@
         if name not in self.acknowledged:
             self.acknowledged[name] = based_on + 1
             self.counts["acknowledged"] += 1
-            copies = [node.name for node in self.nodes.values() if name in on_disk(node)]
-            if len(copies) < self.copies:
-                raise ViolationError(f"{name} is acknowledged and only on the disks of {copies}")
 
     def on_refused(self, change: list[Any]) -> None:
         self.refused.add(change[2])
@@ -473,7 +503,7 @@
             raise ViolationError(f"seed {self.seed}, {len(self.nodes)} machines, at {self.now:.3f} s: {error!r}") from error
 
     def calm(self) -> None:
-        self.troubles_on, self.cut, self.loss = False, set(), 0.0
+        self.troubles_on, self.cut, self.loss, self.slow, self.syncs = False, set(), 0.0, 0.0, (0.005,)
         for node in self.nodes.values():
             node.thaws_at = min(node.thaws_at, self.now)
             self.start(node)
@@ -519,7 +549,7 @@
     """What a core that starts from this disk would hold, committed or not."""
     found = chain_module.Chain(node.me, 1, NoEffects(), Register(), Register.load, lambda number, change: None)
     for record in node.disk:
-        if record[0] in ("base", "entry", "drop"):
+        if record[0] in ("base", "entry", "drop", "caught-up"):
             found.restore(record)
     return found.newest.ids
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -425,7 +425,9 @@
     within(work())
 
 
-def test_older_weights_come_last_and_only_for_a_while() -> None:
+def test_older_weights_are_as_good_as_newer_ones_but_only_for_a_while() -> None:
+    """While endpoints are being moved, those not yet moved have all their parts: they carry their share."""
+
     async def work() -> None:
         old, new = Peer("old", answer()), Peer("new", answer())
         router = await made(document(), old, new)
@@ -437,15 +439,23 @@
         router.fleet.take_roster([old.entry(), new.entry(models={"m": 2})])
         late = {"Remaining_Milliseconds": "900000"}
         router.fleet.table = RouteTable(document(TimeoutMs=900_000))
-        for _ in range(3):
-            assert (await router.ask(**MODEL, **late))[0] == 200
-        assert (len(old.heads), len(new.heads)) == (0, 3)
         router.fleet.take_roster([old.entry()])
         assert (await router.ask(**MODEL, **late))[0] == 200
-        assert old.heads[0]["expect-version"] == "1" and old.heads[0]["cache-salt"].startswith("v1w")
+        router.fleet.take_roster([old.entry(), new.entry(models={"m": 2})])
+        for _ in range(3):  # to where a connection is kept: newer weights don't go before that
+            assert (await router.ask(**MODEL, **late))[0] == 200
+        assert (len(old.heads), len(new.heads)) == (4, 0)
+        assert {head["expect-version"] for head in old.heads} == {"1"}
+        assert all(head["cache-salt"].startswith("v1w") for head in old.heads)
+        before = len(old.heads), len(new.heads)
         now += 8.0
+        for _ in range(10):
+            assert (await router.ask(**MODEL, **late))[0] == 200
+        assert (len(old.heads), len(new.heads)) == (before[0], before[1] + 10)
+        assert {head["expect-version"] for head in new.heads} == {"2"}
+        router.fleet.take_roster([old.entry()])
         assert (await router.ask(**MODEL, **late))[0] == 503
-        assert len(old.heads) == 1
+        assert len(old.heads) == before[0]
 
     within(work())
 
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -124,12 +124,12 @@
     now = asyncio.get_running_loop().time()
     follower.look(now)
     await soon(silent.up.wait())
-    silent.links[0].send(["beat", True, 0, [[f"127.0.0.1:{port}", "a"], [f"127.0.0.2:{port}", "b"]], 4])
+    silent.links[0].send(["beat", True, 0, [[f"127.0.0.1:{port}", "a"], [f"127.0.0.2:{port}", "b"]], 4, {}])
     await soon(until(lambda: fleet.fresh))
     assert fleet.routers == 4
     follower.look(now + 0.1)
     await soon(well.up.wait())
-    well.links[0].send(["beat", True, 0, [[f"127.0.0.1:{port}", "a"], [f"127.0.0.2:{port}", "b"]], 4])
+    well.links[0].send(["beat", True, 0, [[f"127.0.0.1:{port}", "a"], [f"127.0.0.2:{port}", "b"]], 4, {}])
     await soon(until(lambda: follower.sources[f"127.0.0.2:{port}"].fresh))
     heard = follower.sources[f"127.0.0.2:{port}"]
     first = follower.sources[f"127.0.0.1:{port}"]
@@ -142,7 +142,7 @@
     assert follower.sources[f"127.0.0.2:{port}"] is heard
     assert fleet.fresh
     # Not fresh for long enough: left too, and then nobody vouches for what is known.
-    well.links[0].send(["beat", False, 0, [], 4])
+    well.links[0].send(["beat", False, 0, [], 4, {}])
     await soon(until(lambda: not heard.fresh))
     assert not fleet.fresh
     heard.heard = later + following.STALE + 2
--- /dev/null
+++ b/tests/test_prompt_index.py
@@ -0,0 +1,168 @@
+"""The index of kept prompts, the lanes and the sources: pure parts, held against plain models."""
+
+import math
+from collections import OrderedDict
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from plumline.prompts.index import ENDPOINT_SHARE, FORGOTTEN, Keep, Placement, PromptIndex, common
+from plumline.routing.lanes import MEMORY_S, SHORT_USE, Lanes, is_long
+from plumline.routing.sources import SETUP_MS, Holder, best_fetch
+
+A, B = ("10.0.0.1", 1), ("10.0.0.2", 1)
+PARTS = [("system", 800), ("subject", 4000), ("own", 300)]
+
+
+def placed(endpoint: str = "e1", parts: list[tuple[str, int]] | None = None, at: float = 0.0) -> Placement:
+    parts = PARTS if parts is None else parts
+    return Placement(endpoint, "s", parts, float(sum(n for _, n in parts)), True, at)
+
+
+def test_a_prompt_is_backlog_until_it_is_read_and_kept_from_then_on() -> None:
+    index = PromptIndex(lambda _: 100_000)
+    index.placed(("r1", 1), placed())
+    assert index.backlog("e1") == 5100
+    assert index.kept("e1", "s", PARTS) == 0
+    assert index.coming("e1", "s", [*PARTS[:2], ("another", 9)]) == 4800
+    index.read(("r1", 1))
+    assert index.backlog("e1") == 0
+    assert index.kept("e1", "s", [*PARTS[:2], ("another", 9)]) == 4800
+    assert index.kept("e1", "another salt", PARTS) == 0
+    assert index.kept("e2", "s", PARTS) == 0
+    assert index.in_store("s", PARTS) == 5100
+    index.clear_store()
+    assert index.in_store("s", PARTS) == 0
+
+
+def test_what_was_not_read_is_neither_backlog_nor_kept() -> None:
+    index = PromptIndex(lambda _: 0.0)
+    index.placed(("r1", 1), placed())
+    index.ended(("r1", 1))
+    index.read(("r1", 1))
+    assert (index.backlog("e1"), index.kept("e1", "s", PARTS)) == (0, 0)
+    # The end of one that nobody told of is assumed after a while; the same news twice change nothing.
+    index.placed(("r2", 7), placed(at=5.0))
+    index.placed(("r2", 7), placed(at=5.0))
+    index.age(5.0 + FORGOTTEN / 2)
+    assert index.backlog("e1") == 5100
+    index.age(5.0 + FORGOTTEN)
+    assert index.backlog("e1") == 0
+
+
+def test_what_an_endpoint_that_is_gone_or_has_other_weights_kept_is_forgotten() -> None:
+    index = PromptIndex(lambda _: 0.0)
+    for number, endpoint in enumerate(("e1", "e2", "e3")):
+        index.placed(("r", number), placed(endpoint))
+        index.read(("r", number))
+    index.placed(("r", 9), placed("e1"))
+    index.clear_endpoint("e2")
+    index.set_endpoints(["e2", "e3"])
+    assert [index.kept(each, "s", PARTS) for each in ("e1", "e2", "e3")] == [0, 0, 5100]
+    assert index.backlog("e1") == 0
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.lists(st.lists(st.tuples(st.sampled_from("abcdef"), st.integers(1, 50)), max_size=4), max_size=30))
+def test_a_keep_is_a_least_lately_used_memory(prompts: list[list[tuple[str, int]]]) -> None:
+    keep, model = Keep(120.0), OrderedDict[str, int]()
+    for parts in prompts:
+        keep.add("s", parts)
+        for name, tokens in parts:
+            model.pop(name, None)
+            model[name] = tokens
+        while sum(model.values()) > 120:
+            model.popitem(last=False)
+        assert keep.size == sum(model.values()) == sum(keep.parts.values()) <= 120
+        assert [name for _, name in keep.parts] == list(model)
+        for parts_asked in prompts:
+            held = 0
+            for name, tokens in parts_asked:
+                if name not in model:
+                    break
+                held += tokens
+            assert keep.held("s", parts_asked) == held
+
+
+def test_a_share_of_the_memory_is_left_to_running_requests() -> None:
+    index = PromptIndex(lambda _: 1000.0)
+    for number in range(20):
+        index.placed(("r", number), placed("e", [(f"p{number}", 100)]))
+        index.read(("r", number))
+    assert sum(index.kept("e", "s", [(f"p{number}", 100)]) for number in range(20)) == 1000 * ENDPOINT_SHARE
+
+
+def test_common_counts_the_parts_that_both_begin_with() -> None:
+    assert common(PARTS, PARTS) == 5100
+    assert common(PARTS, [("system", 800), ("other", 4000), ("own", 300)]) == 800
+    assert common(PARTS, []) == 0
+
+
+def test_the_source_that_saves_most_is_taken_and_none_where_reading_is_faster() -> None:
+    def fetch(*holders: Holder, kept: int = 0, zone: str = "z1"):  # noqa: ANN202
+        regions = {"z1": "r1", "z2": "r1", "z3": "r2"}
+        return best_fetch(holders, A, zone, kept, 163_840, 1_100_000, 61.2, regions)
+
+    peer, store = Holder(B, "z1", 13_300, 1_100_000), Holder(("10.9.9.9", 1), "z1", 13_300, 300_000)
+    best = fetch(store, peer)
+    assert best is not None and best.source == B and best.tokens == 13_300
+    assert math.isclose(best.ms, SETUP_MS + 13_300 * 163_840 * 8 / 1.1e9)
+    # Farther away it takes longer, and from another region longer than reading.
+    assert fetch(Holder(B, "z2", 13_300, 1_100_000)).ms > best.ms
+    assert fetch(Holder(B, "z3", 13_300, 300_000)) is None
+    # Nothing is fetched that is kept, from itself, over a link that nothing is known of, or for a few tokens.
+    assert fetch(peer, kept=13_300) is None
+    assert fetch(Holder(A, "z1", 13_300, 1_100_000)) is None
+    assert best_fetch([Holder(B, "z1", 9000, 0)], A, "z1", 0, 163_840, 0, 61.2, {}) is None
+    assert fetch(Holder(B, "z1", 60, 1_100_000)) is None
+
+
+def lanes(count: int, short: float, long: float) -> Lanes:
+    found = Lanes(fleet=(short, long))
+    found.set_endpoints("service", [f"e{n}" for n in range(count)])
+    return found
+
+
+def test_lanes_leave_short_requests_what_they_need_and_one_for_each_at_least() -> None:
+    assert lanes(6, 0.0, 900.0).split() == 6
+    assert lanes(6, 900.0, 0.0).split() == 6
+    assert lanes(6, SHORT_USE * 2000, 900.0).split() == 4
+    assert lanes(6, 1.0, 900.0).split() == 5
+    assert lanes(6, 99_000.0, 900.0).split() == 1
+    assert lanes(1, 99.0, 900.0).split() == 1
+    assert lanes(0, 99.0, 900.0).split() == 0
+
+
+def test_all_routers_order_alike_and_a_request_in_its_lane_costs_nothing_more() -> None:
+    one, other = lanes(6, 500.0, 900.0), lanes(6, 500.0, 900.0)
+    other.set_endpoints("service", reversed(one.order))
+    assert one.order == other.order
+    split = one.split()
+    for place, endpoint in enumerate(one.order):
+        in_long = place < split
+        assert (one.astray_ms(endpoint, True) == 0) is in_long
+        assert (one.astray_ms(endpoint, False) == 0) is not in_long
+    assert one.astray_ms("unknown", True) == 0
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.integers(2, 12), st.text(min_size=1, max_size=8))
+def test_a_home_is_in_the_long_lane_and_moves_only_if_it_leaves(count: int, part: str) -> None:
+    found = lanes(count, 1.0, 900.0)
+    parts = [("system", 8), (part, 90), ("own", 9)]
+    home = found.home(parts)
+    assert home in found.order[: found.split()]
+    gone = next((each for each in found.order if each != home), None)
+    found.set_endpoints("service", [each for each in found.order if each != gone])
+    assert found.home(parts) == home or home not in found.order[: found.split()]
+    assert found.home(parts[:1]) is None
+
+
+def test_work_fades_and_a_long_prompt_is_told_by_the_shortest_aim() -> None:
+    work = Lanes().work
+    work.add(0.0, 100.0, long=True)
+    work.add(0.0, 50.0, long=False)
+    short, long = work.rates(MEMORY_S)
+    assert math.isclose(short, 50 / math.e / MEMORY_S) and math.isclose(long, 100 / math.e / MEMORY_S)
+    assert is_long(40.0, 300.0)
+    assert not is_long(6.0, 300.0)
