--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -94,7 +94,6 @@
         if settings.data_directory is not None:
             self.writer = DurableWriter(self.file, self.loop, self.image)
             self.persist(["incarnation", incarnation], self.known.set)
-        self.core.restore(records)
         self.operators = Operators(self.core, self.send, self.counters)
         self.zones: dict[str, str] = {self.address: settings.zone}  # of registrars, by address
         self.elsewhere: dict[str, tuple[float, dict[str, Work]]] = {}  # followers of other registrars
@@ -123,6 +122,7 @@
         self.holding: dict[str, int | None] = {}
         self.addresses_of: dict[str, Any] | None = None  # the configuration that `addresses` are from
         self.addresses: dict[str, tuple[str, int]] = {}
+        self.core.restore(records)  # may commit, and tell, what is on the disk
 
     # The store.
 
