--- a/plumline/cli.py
+++ b/plumline/cli.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import os
 import re
 import sys
 from collections.abc import Awaitable, Callable, Iterator
@@ -52,7 +53,7 @@
     else:
         from plumline.registrar.app import run
     try:
-        asyncio.run(run(loaded))
+        asyncio.run(run(loaded, settings.SettingsFile(os.environ.get(settings.VARIABLE))))
     except PlumlineError as error:
         stop(error, EXIT_FAILED)
 
@@ -505,6 +506,26 @@
     sys.exit(0 if result.good else EXIT_FAULTS)
 
 
+@lab.command("flood")
+@click.option("--routers", type=click.IntRange(1, 50), default=3, show_default=True)
+@click.option("--seconds", type=click.FloatRange(min=1), default=12.0, show_default=True, help="Of traffic.")
+@click.option("--times", type=click.FloatRange(min=1), default=8.0, show_default=True, help="The usual rate.")
+@click.option("--bound", type=click.FloatRange(0, 1), default=0.9, show_default=True, help="Victims in time.")
+@click.option("--seed", type=int, default=1, show_default=True, help="Of the requests.")
+@AS_JSON
+def lab_flood(as_json: bool, **how: Any) -> None:  # noqa: ANN401
+    """One tenant floods all routers; how many of the others' answers are in time without and with a reserved
+    share. Exit 0: with it, at least --bound of them and no rule broken; 1: not."""
+    from plumline.lab import flood
+
+    try:
+        found = asyncio.run(flood.compare(**how))
+    except PlumlineError as error:
+        stop(error, EXIT_FAULTS)
+    click.echo(json.dumps(found.parts()) if as_json else found.text())
+    sys.exit(0 if found.good else EXIT_FAULTS)
+
+
 def result_parts(result: "Result") -> dict[str, Any]:
     """The result as plain values; a time that was not measured is null."""
     from plumline.lab.clients import summary
--- a/plumline/configuration/document.py
+++ b/plumline/configuration/document.py
@@ -25,6 +25,7 @@
     Shape,
     every,
     fault,
+    is_number,
     joined,
     number,
     optional,
@@ -88,12 +89,14 @@
         ),
     },
 )
+SHARE = Rule("a number from 0 to 1", lambda v: is_number(v) and 0 <= v <= 1)
 TENANT = Shape(
     {"Name": NAME},
     {
         "ApiKeys": optional(every(NAME)),
         "Priority": optional(whole(0)),
         "Isolated": optional(FLAG),
+        "ReservedShare": optional(SHARE),
     },
 )
 LIMITS = Shape(
@@ -310,6 +313,7 @@
         + _names_twice(document)
         + _route_faults([r for r in _items(document, "Routes") if id(r) not in unsound], services)
         + _key_faults([t for t in _items(document, "Tenants") if id(t) not in unsound])
+        + _share_faults([t for t in _items(document, "Tenants") if id(t) not in unsound])
     )
 
 
@@ -384,3 +388,11 @@
                 where = f"Tenants[{tenant['Name']}].ApiKeys[{place}]"
                 faults.append(fault(where, "(a key)", f"a key that tenant {holder} has not"))
     return faults
+
+
+def _share_faults(tenants: list[Document]) -> list[str]:
+    """More than the whole is reserved."""
+    total = math.fsum(each.get("ReservedShare") or 0 for each in tenants)
+    if total <= 1 + 1e-9:  # tenths don't add up exactly
+        return []
+    return [fault("Tenants.ReservedShare", round(total, 6), "shares that add up to 1 at the most")]
--- a/plumline/configuration/routes.py
+++ b/plumline/configuration/routes.py
@@ -54,6 +54,7 @@
     name: str
     priority: int | None = None  # goes before the route's
     isolated: bool = False
+    reserved_share: float = 0.0  # of the work of each service, kept for it in a surge
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,8 +107,12 @@
             host.prefixes[route.prefix] = route
             host.longest = max(host.longest, len(route.prefix))
         self.has_tenants = bool(document.get("Tenants"))
+        self.reserved: dict[str, float] = {}  # shares by tenant, of those that have one
         for item in document.get("Tenants", ()):
-            tenant = Tenant(item["Name"], item.get("Priority"), bool(item.get("Isolated")))
+            share = _or(item, "ReservedShare", 0.0)
+            tenant = Tenant(item["Name"], item.get("Priority"), bool(item.get("Isolated")), share)
+            if share:
+                self.reserved[tenant.name] = share
             for key in item.get("ApiKeys") or ():
                 self._keys[key] = tenant
 
--- a/plumline/coordination/core.py
+++ b/plumline/coordination/core.py
@@ -45,6 +45,11 @@
         self.ballots = Ballots(me[0], leases, now, chance)
         self.sick = False
 
+    def set_seeds(self, seeds: list[str]) -> None:
+        """The seeds of now: whom to ask. The first view is formed by those of this process's start, or never:
+        machines that were exchanged may all be empty."""
+        self.seeds = seeds
+
     # Durable state.
 
     def restore(self, records: list[Record]) -> None:
--- a/plumline/lab/engine.py
+++ b/plumline/lab/engine.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import hashlib
+import heapq
 import math
 import secrets
 from collections import Counter, deque
@@ -84,6 +85,7 @@
     token_ms: float = 5.0
     crowd: float = 0.1  # by how much each further running request lengthens a token
     tokens_per_event: int = 4
+    in_turn: bool = False  # it reads one prompt at a time, the most urgent first
     load_ms: float = 500.0
     fencing: bool = True
 
@@ -128,6 +130,8 @@
         self.draining = False
         self.number = count(1)
         self._link = asyncio.Lock()
+        self.reading = False
+        self.readers: list[tuple[int, int, asyncio.Future[None]]] = []
         self._flow = asyncio.Event()
         self._flow.set()
         self._watching: list[tuple[Callable[[], bool], asyncio.Future[None]]] = []
@@ -401,7 +405,7 @@
             await asyncio.get_running_loop().create_future()
         if fault is Fault.RESET_AFTER:
             return call.reset()
-        await self.pace.wait(missing * self.shape.prefill_ms)
+        await self.read(job.priority, missing)
         made = [(name, Part(size, tenant, version)) for name, size in parts[len(found) :]]
         if self.models[model] == version:
             for name, part in made:
@@ -421,6 +425,32 @@
             lines = ["HTTP/1.1 200 OK", f"Attempt-Id: {run.id}", f"Server-Seal: {seal}", "Content-Length: 5"]
             call.raw("\r\n".join([*lines, "", "stray"]).encode())
 
+    async def read(self, priority: int, tokens: int) -> None:
+        """The time that reading them takes, with the wait for it."""
+        if not self.shape.in_turn:
+            return await self.pace.wait(tokens * self.shape.prefill_ms)
+        if self.reading:
+            turn = asyncio.get_running_loop().create_future()
+            heapq.heappush(self.readers, (priority, next(self.number), turn))
+            try:
+                await turn
+            except asyncio.CancelledError:
+                if turn.done() and not turn.cancelled():  # it had the turn and passes it on
+                    self._pass_turn()
+                raise
+        self.reading = True
+        try:
+            await self.pace.wait(tokens * self.shape.prefill_ms)
+        finally:
+            self._pass_turn()
+
+    def _pass_turn(self) -> None:
+        while self.readers:
+            turn = heapq.heappop(self.readers)[2]
+            if not turn.done():
+                return turn.set_result(None)
+        self.reading = False
+
     async def _stream(self, job: _Job, run: Run, missing: int, out_tokens: int, fault: Fault | None) -> None:
         """Events `id: N`, `data: BODYHASH.N/OF`; a piece is the same everywhere, so it may be resumed."""
         of = max(1, math.ceil(out_tokens / self.shape.tokens_per_event))
@@ -434,7 +464,7 @@
             if not job.running:  # preempted: reads its prompt again
                 self.counts["preempted"] += 1
                 await self._admit(job)
-                await self.pace.wait(missing * self.shape.prefill_ms)
+                await self.read(job.priority, missing)
             now = self.models[run.model]
             first = f"versions: {now}\n" if now != version else ""
             version = now
--- /dev/null
+++ b/plumline/lab/flood.py
@@ -0,0 +1,197 @@
+"""A tenant floods every router: what becomes of the others' requests, with and without a reserved share.
+
+Real processes on loopback, stand-in endpoints that read prompts in turn. The victims' requests are like those
+of a lending library and a museum's guides: short catalog checks and renewals, longer briefs and answers.
+"""
+
+import asyncio
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from plumline.errors import UnavailableError
+from plumline.lab.clients import Breach, Class, Clients, Sent, Tally, judge_all
+from plumline.lab.engine import Engine, Run, Shape
+from plumline.lab.local import (
+    BOUNDS,
+    Ports,
+    Process,
+    configuration_for,
+    machines_for,
+    ready,
+    settings_for,
+    surroundings,
+)
+from plumline.lab.operator import Operator
+
+HOST = "lab.example"
+FLOODER = "flooder"
+SHARES = {"library": 0.3, "guides": 0.4}
+ENGINES = 2
+#: Reads as fast as routers expect and puts out eight tokens in 1.6 ms: 0.2 ms of its time each.
+SHAPE = Shape(slots=8, queue=8, prefill_ms=1 / 61.2, token_ms=1.6, crowd=0.0, in_turn=True)
+CALM_S = 2.0  # s of the flooder's usual rate before the flood
+USUAL_RATE = 6.0  # the flooder's requests/s; one is about 70 ms of an endpoint's time
+
+
+def configuration(store: str, reserved: bool) -> dict[str, Any]:
+    """Routes for requests that may run once, and the three tenants of one service."""
+    document = configuration_for(1, store, SHAPE.slots)
+    route = next(each for each in document["Routes"] if each["Name"] == "r-once")
+    document["Routes"] = [route | {"AttemptLimit": 2, "Priority": 1}]
+    document["Tenants"] = [{"Name": name, "ApiKeys": [f"key-{name}"]} for name in (*SHARES, FLOODER)]
+    for tenant in document["Tenants"] if reserved else ():
+        if tenant["Name"] in SHARES:
+            tenant["ReservedShare"] = SHARES[tenant["Name"]]
+    return document
+
+
+def kind(name: str, tenant: str, rate: float, prompt: int, out: int) -> Class:
+    return Class(
+        name,
+        HOST,
+        "/once/",
+        rate,
+        prompt_tokens=prompt,
+        out_tokens=out,
+        key=f"key-{tenant}",
+        tenant=tenant,
+        patience_ms=4000,
+    )
+
+
+def victims() -> list[Class]:
+    return [
+        kind("catalog-check", "library", 3.0, 500, 8),
+        kind("renew-ask", "library", 4.0, 1200, 24),
+        kind("itinerary-brief", "guides", 1.5, 3600, 48),
+        kind("kiosk-question", "guides", 3.0, 2400, 24),
+    ]
+
+
+def flooder(times: float) -> Class:
+    each = kind("flood", FLOODER, USUAL_RATE * times, 4400, 24)
+    return Class(**({name: getattr(each, name) for name in Class.__slots__} | {"subjects": 1 << 30}))
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Of one run. `over_share`: requests that routers refused for it, as their clients saw them."""
+
+    tallies: dict[str, Tally]
+    breaches: list[Breach]
+    twice: int  # victims' answered requests that ran other than once
+    exits: dict[str, int]
+
+    def in_time(self, classes: Iterable[str]) -> float:
+        """Share of the classes' requests; 0 if there were none."""
+        counts: Counter[str] = Counter()
+        for name in classes:
+            counts += self.tallies[name].outcomes if name in self.tallies else Counter()
+        return counts["in-time"] / counts.total() if counts else 0.0
+
+
+@dataclass(slots=True)
+class Comparison:
+    without: Outcome
+    with_share: Outcome
+    bound: float
+
+    @property
+    def good(self) -> bool:
+        each = self.with_share
+        well = not each.breaches and not each.twice and not any(each.exits.values())
+        return well and all(each.in_time([name]) >= self.bound for name in victim_names())
+
+    def parts(self) -> dict[str, Any]:
+        runs = {"without": self.without, "with": self.with_share}
+        return {"good": self.good, "bound": self.bound} | {
+            key: {
+                "in_time": {name: round(each.in_time([name]), 4) for name in sorted(each.tallies)},
+                "victims_in_time": round(each.in_time(victim_names()), 4),
+                "outcomes": {name: dict(tally.outcomes) for name, tally in sorted(each.tallies.items())},
+                "breaches": [f"{b.rule} {b.id}: {b.text}" for b in each.breaches],
+                "not_once": each.twice,
+                "exits": each.exits,
+            }
+            for key, each in runs.items()
+        }
+
+    def text(self) -> str:
+        lines = [f"{'in time':>16}  {'without':>8}  {'with':>8}"]
+        for name in [*victim_names(), "flood"]:
+            before, after = self.without.in_time([name]), self.with_share.in_time([name])
+            lines.append(f"{name:>16}  {before:>8.3f}  {after:>8.3f}")
+        before, after = (each.in_time(victim_names()) for each in (self.without, self.with_share))
+        lines.append(f"{'all victims':>16}  {before:>8.3f}  {after:>8.3f}")
+        for key, each in (("without", self.without), ("with", self.with_share)):
+            said = [f"{b.rule} {b.id}: {b.text}" for b in each.breaches] or ["no rule broken"]
+            lines.append(f"{key}: {'; '.join(said)}; {each.twice} of the victims' answers not run once")
+        lines.append(f"bound {self.bound:g} for each kind: {'kept' if self.good else 'NOT KEPT'}")
+        return "\n".join(lines)
+
+
+def victim_names() -> list[str]:
+    return [each.name for each in victims()]
+
+
+def not_once(runs: Iterable[Run], sent: dict[str, Sent], answers: Iterable[tuple[str, str]]) -> int:
+    """How many of the victims' answered requests did not run exactly once."""
+    counts = Counter(run.id for run in runs)
+    names = {name for name, _ in answers if sent[name].tenant in SHARES}
+    return sum(counts[name] != 1 for name in names)
+
+
+async def compare(
+    routers: int = 3, seconds: float = 12.0, times: float = 8.0, bound: float = 0.9, seed: int = 1
+) -> Comparison:
+    """The same day twice. Errors: NotStartedError, UnavailableError."""
+    without = await run(routers, seconds, times, seed, reserved=False)
+    with_share = await run(routers, seconds, times, seed, reserved=True)
+    return Comparison(without, with_share, bound)
+
+
+async def run(routers: int, seconds: float, times: float, seed: int, reserved: bool) -> Outcome:
+    """One registrar and `routers` routers; a flood of `times` the usual rate for `seconds`."""
+    machines = machines_for(routers, 1)
+    ports = Ports.free(each.host for each in machines)
+    with tempfile.TemporaryDirectory(prefix="plumline-flood-") as name:
+        directory = Path(name)
+        async with surroundings(ENGINES, 1.0, SHAPE) as (engines, store, platform):
+            processes = [Process(each, directory) for each in machines]
+            try:
+                for each in processes:
+                    address = platform.server.address
+                    await each.start(settings_for(each.machine, machines, ports, address, directory))
+                operator = Operator([f"{machines[0].host}:{ports.control}"])
+                verdict = await operator.replace(configuration(store.server.address, reserved), 0)
+                if not verdict.taken:
+                    raise UnavailableError(f"the configuration was answered {verdict.status}")
+                edge = processes[1:]
+                await asyncio.gather(
+                    *(ready(each, f"{each.machine.host}:{ports.readiness}") for each in edge)
+                )
+                fronts = [f"{each.machine.host}:{ports.front}" for each in edge]
+                outcome = await play(fronts, engines, seconds, times, seed)
+            finally:
+                ends = await asyncio.gather(*(each.stop() for each in processes))
+        outcome.exits = {each.machine.name: end for each, end in zip(processes, ends, strict=True)}
+        return outcome
+
+
+async def play(fronts: list[str], engines: list[Engine], seconds: float, times: float, seed: int) -> Outcome:
+    """A calm beginning, which isn't counted, then the flood."""
+    before = Clients(fronts, [*victims(), flooder(1.0)], seed, time.monotonic)
+    await before.run(CALM_S)
+    clients = Clients(fronts, [*victims(), flooder(times)], seed + 1, time.monotonic)
+    await clients.run(seconds)
+    clients.sent |= before.sent
+    clients.answers += before.answers
+    breaches = judge_all(engines, clients, BOUNDS["LeaseDurationMs"] / 1000, [])
+    runs = [run for engine in engines for run in engine.runs]
+    odd = not_once(runs, clients.sent, clients.answers)
+    return Outcome(dict(clients.tallies), breaches, odd, {})
--- a/plumline/lab/local.py
+++ b/plumline/lab/local.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import AsyncIterator, Iterable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -303,7 +303,7 @@
 
 @asynccontextmanager
 async def surroundings(
-    engines: int, speed: float
+    engines: int, speed: float, shape: Shape | None = None
 ) -> AsyncIterator[tuple[list[Engine], CacheStore, Platform]]:
     """The stand-ins, listening; stopped at the end."""
     async with AsyncExitStack() as stack:
@@ -312,7 +312,8 @@
         stack.push_async_callback(store.server.stop)
         await platform.server.start()
         stack.push_async_callback(platform.server.stop)
-        found = [Engine(Shape(zone=("zone-a", "zone-b")[n % 2]), speed) for n in range(engines)]
+        like = shape or Shape()
+        found = [Engine(replace(like, zone=("zone-a", "zone-b")[n % 2]), speed) for n in range(engines)]
         for engine in found:
             await engine.start()
             stack.push_async_callback(engine.stop)
--- a/plumline/prompts/index.py
+++ b/plumline/prompts/index.py
@@ -33,7 +33,7 @@
     salt: str
     parts: list[Part]
     missing: float
-    saves: bool
+    saves: str  # address of the store that it is saved to; empty: to none
     at: float
 
 
@@ -125,7 +125,7 @@
         self.keeps: dict[str, Keep] = {}
         self.resident: dict[str, float] = {}  # endpoint -> tokens of prompts read or being read for a stream
         self.streams: dict[Serial, Placement] = {}  # those, oldest first
-        self.store = StoreContents()
+        self.stores: dict[str, StoreContents] = {}  # by address, "ip:port"
         self.seen: OrderedDict[tuple[str, str], None] = OrderedDict()  # parts that somebody has read
 
     # News.
@@ -138,7 +138,7 @@
         self.unread[key] = self.unread.get(key, 0.0) + placement.missing
         self.resident[key] = self.resident.get(key, 0.0) + size_of(placement.parts)
         if placement.saves:
-            self.store.sent(placement.at, placement.salt, placement.parts)
+            self.store(placement.saves).sent(placement.at, placement.salt, placement.parts)
 
     def read(self, serial: Serial) -> None:
         """Its first piece has come: the endpoint keeps all its parts now."""
@@ -193,6 +193,13 @@
         """It has taken other weights, or begun anew."""
         self.keeps.pop(endpoint, None)
 
+    def store(self, address: str) -> StoreContents:
+        return self.stores.get(address) or self.stores.setdefault(address, StoreContents())
+
+    def set_stores(self, addresses: Iterable[str]) -> None:
+        known = set(addresses)
+        self.stores = {address: each for address, each in self.stores.items() if address in known}
+
     # Questions.
 
     def backlog(self, endpoint: str) -> float:
--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -22,7 +22,7 @@
 from plumline.registrar.operators import Operators
 from plumline.registrar.stores import Stores
 from plumline.registrar.weights import Weights
-from plumline.settings import Settings
+from plumline.settings import Settings, SettingsFile
 from plumline.store.records import RecordFile
 from plumline.store.writer import DurableWriter, MemoryWriter, Writer
 from plumline.wire.calls import Caller
@@ -47,8 +47,8 @@
 class Registrar:
     """Effects of the core are this object's `send` and `persist`."""
 
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, settings_file: SettingsFile | None = None) -> None:
+        self.settings, self.settings_file = settings, settings_file or SettingsFile(None)
         self.loop = asyncio.get_running_loop()
         self.counters, self.topics = Counters(), Topics()
         self.chance = random.Random(secrets.randbits(64))
@@ -72,7 +72,7 @@
         rest = settings.bounds.lease_duration_ms / 1000 + MARGIN
         self.core = Core(
             me=me,
-            seeds=[f"{ip}:{port}" for ip, _ in settings.seed_addresses],
+            seeds=settings.seeds,
             copies=settings.machine_losses + 1,
             first_start=settings.first_start,
             effects=self,
@@ -273,6 +273,8 @@
             self.core.sick = self.writer.broken is not None or (
                 self.writer.oldest_pending(now) > SICK_AFTER
             )
+            if (changed := self.settings_file.changed(now)) is not None:
+                self.core.set_seeds(changed.seeds)
             self.core.tick(now)
             self.note_leases(now)
             if now >= beat_at:
@@ -327,7 +329,7 @@
             self.server = Server(self.operators.handle)
             await self.server.listen(settings.control_plane)
         self.loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
-        self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        self.loop.add_signal_handler(signal.SIGHUP, self.settings_file.hurry)
         for lease in ("discovery", "weights"):
             self.core.wish(self.loop.time(), lease, True)
         log.info(logs.words("started", node=settings.node_name, incarnation=self.core.me[1]))
@@ -366,5 +368,5 @@
         log.info(logs.words("stopped"))
 
 
-async def run(settings: Settings) -> None:
-    await Registrar(settings).run()
+async def run(settings: Settings, settings_file: SettingsFile | None = None) -> None:
+    await Registrar(settings, settings_file).run()
--- a/plumline/registrar/feeding.py
+++ b/plumline/registrar/feeding.py
@@ -1,5 +1,6 @@
 """The feed to routers: a numbered history of changes from a place on, soft topics, and beats."""
 
+import math
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -7,11 +8,21 @@
 from plumline.coordination.topics import Topics
 from plumline.counters import Counters
 from plumline.errors import FrameError
+from plumline.routing.shares import summed
 from plumline.wire.frames import FrameLink, pack
 
 SILENT_HEARTBEATS = 3  # of its interval, after which a follower no longer counts as alive
 
-Work = dict[str, list[float]]  # by service: ms of endpoints' time a second for short and for long requests
+#: By service: ms of endpoints' time a second for short and for long requests; then, where shares are
+#: reserved, what the tenants ask for (routing.shares.Told).
+Work = dict[str, list[Any]]
+
+
+def is_rates(rates: Any) -> bool:  # noqa: ANN401
+    """Whether it has the shape of what `Work` holds for a service; a sum checks the tenants' part."""
+    if not isinstance(rates, list) or not 2 <= len(rates) <= 3:
+        return False
+    return all(type(each) in (int, float) and 0 <= each < math.inf for each in rates[:2])
 
 
 @dataclass(slots=True)
@@ -55,6 +66,8 @@
             case ["primary", bool(primary)]:
                 follower.primary = primary
             case ["heartbeat", int(), dict(work)]:
+                if not all(map(is_rates, work.values())):
+                    raise FrameError("a heartbeat with a malformed rate")
                 follower.work = work
             case _:
                 raise FrameError(f"a follower does not say {message[0]!r}")
@@ -105,10 +118,16 @@
     def beat(self, fresh: bool, registrars: list[list[str]], routers: dict[str, Work]) -> None:
         """`registrars`: [address, zone] of those that can be followed; `routers`: all that are alive."""
         work: Work = {}
+        demands: dict[str, list[Any]] = {}
         for each in routers.values():
-            for service, rates in each.items():
+            for service, (short, long, *demand) in each.items():
                 known = work.setdefault(service, [0.0, 0.0])
-                work[service] = [round(a + b, 1) for a, b in zip(known, rates, strict=True)]
+                work[service] = [round(known[0] + short, 1), round(known[1] + long, 1)]
+                if demand:
+                    demands.setdefault(service, []).append(demand[0])
+        for service, told in demands.items():
+            if (demand := summed(told)) is not None:
+                work[service].append(demand)
         count = max(len(routers), 1)
         self.send_all(["beat", fresh, self.chain.committed, registrars, count, work])
 
--- a/plumline/router/app.py
+++ b/plumline/router/app.py
@@ -11,7 +11,7 @@
 from plumline.router.ingress import Lifecycle
 from plumline.router.readiness import Readiness
 from plumline.routing.fleet import Fleet
-from plumline.settings import Settings
+from plumline.settings import Settings, SettingsFile
 from plumline.wire.server import FixedLimits, Server
 
 MEMORY_SHARE = 1 / 4  # of the process's memory that bodies may take at once
@@ -22,11 +22,11 @@
 
 
 class Router:
-    def __init__(self, settings: Settings) -> None:
-        self.settings = settings
+    def __init__(self, settings: Settings, file: SettingsFile | None = None) -> None:
+        self.settings, self.file = settings, file or SettingsFile(None)
         self.loop = asyncio.get_running_loop()
         self.counters, self.fleet = Counters(), Fleet()
-        self.follower = Follower(settings, self.fleet, self.counters)
+        self.follower = Follower(settings, self.fleet, self.counters, self.file)
         bounds = settings.bounds
         self.budget = RetryBudget(
             bounds.retry_budget_ratio,
@@ -66,7 +66,7 @@
         if self.settings.readiness is not None:
             await self.readiness.listen(self.settings.readiness)
         self.loop.add_signal_handler(signal.SIGTERM, self.lifecycle.begin_shutdown)
-        self.loop.add_signal_handler(signal.SIGHUP, lambda: None)
+        self.loop.add_signal_handler(signal.SIGHUP, self.file.hurry)
         log.info(logs.words("started", node=self.settings.node_name))
         work = [self.loop.create_task(each) for each in (self.follower.run(), self.summarise())]
         stop = self.loop.create_task(self.lifecycle.run_until_stopped())
@@ -82,5 +82,5 @@
         log.info(logs.words("stopped"))
 
 
-async def run(settings: Settings) -> None:
-    await Router(settings).run()
+async def run(settings: Settings, file: SettingsFile | None = None) -> None:
+    await Router(settings, file).run()
--- a/plumline/router/dispatch.py
+++ b/plumline/router/dispatch.py
@@ -18,6 +18,7 @@
 
 from plumline import logs
 from plumline.configuration.routes import Route, RouteTable, Service, Tenant
+from plumline.coordination import ring
 from plumline.coordination.budget import RetryBudget
 from plumline.counters import Counters
 from plumline.prompts.index import Placement, PromptIndex
@@ -40,9 +41,10 @@
 from plumline.routing.choice import READ_RATE, Candidate, choose, expected_ms
 from plumline.routing.fleet import Address, Endpoint, Fleet
 from plumline.routing.lanes import AWAY_MS, SHORT_AWAY_MS, TOKEN_MS, Lanes, is_long
-from plumline.routing.loads import Affinity, Load, output_tokens, parse_parts, prompt_tokens
+from plumline.routing.loads import Affinity, Load, Part, output_tokens, parse_parts, prompt_tokens
 from plumline.routing.outcomes import Call, Outcomes, store_key
 from plumline.routing.salt import NamedVersions, Salt, salt_for
+from plumline.routing.shares import CALM, Shares, Standing, priority
 from plumline.routing.sources import Fetch, Holder, best_fetch
 from plumline.settings import Settings
 from plumline.wire.exchange import Exchange
@@ -62,6 +64,7 @@
 
 SILENCE_SHARE = 0.8  # of the silence that a client bears, in which a first piece must be expected
 RESIDENT_SHARE = 0.8  # of an endpoint's memory that prompts may take before others go elsewhere
+REVOCATION_SHARE = 0.8  # of RevocationMs: what a request takes on its way is left
 MOST_RANK = 4  # ranks from here on count alike: an endpoint knows ten, two for each
 UP: dict[str, Any] = {"up": True}  # a store that nobody told of
 
@@ -100,6 +103,7 @@
         budget: Budget | None = None,
     ) -> None:
         self.zone, self.fleet, self.counters, self.clock = settings.zone, fleet, counters, clock
+        self.bounds = settings.bounds
         self.chance = chance or random.Random()
         bounds = settings.bounds
         self.budget: Budget = budget or RetryBudget(
@@ -126,6 +130,7 @@
         self.gone: set[str] = set()  # ids whose address answered for another incarnation
         self.by_service: dict[str, list[Endpoint]] = {}
         self.lanes: dict[str, Lanes] = {}
+        self.shares = Shares(self.surge)
         self.shortest_aims: dict[str, float] = {}  # ms, by service
         self.tasks: set[asyncio.Task[None]] = set()
         self.told("configuration")
@@ -140,6 +145,7 @@
         now = self.clock()
         if topic == "configuration":
             self.versions.look(now)
+            self.shares.set_reserved(self.fleet.table.reserved if self.fleet.table else {})
             self.shortest_aims = {}
             for route in self.fleet.table.routes if self.fleet.table else ():
                 for service, _ in route.splits:
@@ -157,9 +163,12 @@
             self.by_service = {}
             for each in listed.values():
                 self.by_service.setdefault(each.service, []).append(each)
+            counts: dict[str, int] = {}
             for service, at in self.by_service.items():
                 usable = [each.id for each in at if not (each.draining or each.moving)]
                 self.lanes.setdefault(service, Lanes()).set_endpoints(service, usable)
+                counts[service] = len(usable)
+            self.shares.set_endpoints(counts)
             self.lanes = {name: each for name, each in self.lanes.items() if name in self.by_service}
             self.pool.sweep(now, listed)
             self.outcomes.age(listed, now)
@@ -168,23 +177,36 @@
                 for key in [key for key in known if key not in listed]:
                     del known[key]
 
-    def work_rates(self) -> dict[str, list[float]]:
-        """This router's work by service, for its heartbeats: [short, long] in ms a second."""
+    def work_rates(self) -> dict[str, list[Any]]:
+        """This router's work by service, for its heartbeats: [short, long] in ms a second, and what tenants
+        ask for where shares are reserved."""
         now = self.clock()
-        return {name: [round(rate, 1) for rate in each.work.rates(now)] for name, each in self.lanes.items()}
+        found: dict[str, list[Any]] = {}
+        for name, each in self.lanes.items():
+            found[name] = [round(rate, 1) for rate in each.work.rates(now)]
+            if (demand := self.shares.demand(now, name)) is not None:
+                found[name].append(demand)
+        return found
 
-    def told_work(self, work: dict[str, list[float]]) -> None:
+    def told_work(self, work: dict[str, list[Any]]) -> None:
         """The whole fleet's."""
-        for name, (short, long) in work.items():
+        for name, (short, long, *demand) in work.items():
             if lanes := self.lanes.get(name):
                 lanes.fleet = short, long
+            if demand:
+                self.shares.take(self.clock(), name, demand[0])
+
+    def surge(self, service: str, on: bool, times: float) -> None:
+        log.info(logs.words("surge", service=service, on=on, demand=round(times, 2)))
 
     def told_stores(self, stores: dict[str, dict[str, Any]]) -> None:
         """{name: {"up": bool, "epoch": int}}: one that was down, or began anew, holds nothing any more."""
         for name, each in stores.items():
             known = self.stores.get(name)
-            if known is not None and (not each["up"] or each["epoch"] != known["epoch"]):
-                self.index.store.clear()
+            service = self.fleet.table.services.get(name) if self.fleet.table else None
+            begun_anew = known is not None and (not each["up"] or each["epoch"] != known["epoch"])
+            if begun_anew and service and service.store_address:
+                self.index.store(address_text(service.store_address).decode()).clear()
         self.stores = stores
 
     def memory_of(self, endpoint: str) -> float:
@@ -198,7 +220,8 @@
         now = self.clock()
         for event in events:
             match event:
-                case ["placed", int(number), str(endpoint), str(salt), list(told), float(missing), saves]:
+                case ["placed", int(number), str(endpoint), str(salt), list(told), float(missing),
+                str(saves)]:
                     parts = [(str(name), int(tokens)) for name, tokens in told]
                     if endpoint in self.fleet.endpoints:
                         placement = Placement(endpoint, salt, parts, missing, saves, now)
@@ -208,7 +231,7 @@
                 case ["done", int(number)]:
                     self.index.done((node, number))
                 case ["stored", int(epoch), list(changes)]:
-                    self.index.store.changed(epoch, changes)
+                    self.index.store(node).changed(epoch, changes)  # by the store's address
                 case _:
                     raise ValueError(f"no news: {event!r}")
 
@@ -227,6 +250,11 @@
         """Closes the idle connections."""
         self.pool.close()
 
+    def may_know_revoked_keys(self) -> bool:
+        """Where revocation is closed, a router that has been out of touch for long takes no key any more."""
+        bounds, since = self.bounds, self.clock() - self.fleet.fresh_at
+        return bounds.revocation_closed and since > bounds.revocation_ms / 1000 * REVOCATION_SHARE
+
     def load(self, key: str) -> Load:
         return self.loads.get(key) or self.loads.setdefault(key, Load())
 
@@ -244,16 +272,21 @@
             if known < int(told) <= self.fleet.named_version(model):
                 self.learned.setdefault(endpoint.id, {})[model] = int(told)
 
-    def store_for(self) -> Service | None:
-        """The store that requests name: the same for all routers, as long as its breaker isn't open."""
+    def store_for(self, parts: list[Part]) -> Service | None:
+        """The store that holds a prompt's shared parts: the same for all routers, of those that are up."""
         stores = self.fleet.table.stores
-        for name in sorted(stores) if len(stores) > 1 else stores:
-            address = stores[name].store_address
-            if not self.stores.get(name, UP)["up"]:
-                continue
-            if address and not self.outcomes.is_open(store_key(address)):
-                return stores[name]
-        return None
+        up = [
+            name
+            for name, each in stores.items()
+            if each.store_address
+            and self.stores.get(name, UP)["up"]
+            and not self.outcomes.is_open(store_key(each.store_address))
+        ]
+        if len(up) > 1:
+            name = ring.choose(parts[-2][0] if len(parts) > 1 else "", up)
+        else:
+            name = up[0] if up else None
+        return stores[name] if name is not None else None
 
 
 class Job:
@@ -278,6 +311,8 @@
         self.tried: set[str] = set()  # endpoints that were sent this request, or couldn't be
         self.joiner: EventJoiner | None = None
         self.come_back = COME_BACK[0]
+        self.standing = CALM  # towards its tenant's share
+        self.over_share = False  # and not sent for it
         self.holders: dict[str, list[Holder]] = {}  # by salt, of the choice at hand
 
     async def run(self) -> None:
@@ -312,6 +347,9 @@
             self.answer(503, "no-configuration", NOT_YET)
             return False
         self.table = fleet.table
+        if self.of.may_know_revoked_keys():
+            self.answer(503, "revocation-unsure", NOT_YET)
+            return False
         route = self.table.match(exchange.host, exchange.path)
         if route is None:
             return self.denied(404, "no-route")
@@ -329,8 +367,25 @@
             self.base.append((b"tenant-name", self.tenant.name.encode()))
         self.until = exchange.began + min(self.told_time(), route.timeout_ms) / 1000
         self.read_prompt()
+        ms = self.tokens / READ_RATE, self.work_ms
+        standing = self.of.shares.ask(now, self.service, self.owner(), ms, self.of.fleet.routers)
+        self.set_standing(standing)
+        if standing.refused:
+            self.answer(429, "over-share", standing.wait)
+            return False
         return True
 
+    def owner(self) -> str:
+        """Whose share it is: the tenant's; all that come without one have one together."""
+        return self.tenant.name if self.tenant else ""
+
+    def set_standing(self, standing: Standing) -> None:
+        # Short prompts go before long ones: they cost those little, the other way much.
+        told = self.tenant.priority if self.tenant else None
+        rank = min(max(self.route.priority if told is None else told, 0), MOST_RANK)
+        self.standing = standing
+        self.priority = priority(rank, self.long, MOST_RANK, standing)
+
     def denied(self, status: int, name: str) -> bool:
         """A router that may not know the newest configuration doesn't say 4xx, which nobody repeats."""
         if self.of.fleet.fresh:
@@ -358,10 +413,6 @@
         self.work_ms = output_tokens(counts) * TOKEN_MS  # beside its reading
         isolated = self.tenant is not None and self.tenant.isolated
         self.isolated = self.tenant.name if self.tenant and isolated else None
-        told = self.tenant.priority if self.tenant else None
-        # Short prompts go before long ones: they cost those little, the other way much.
-        rank = min(max(self.route.priority if told is None else told, 0), MOST_RANK)
-        self.priority = rank + (MOST_RANK + 1) * self.long
 
     # The ends that come from outside.
 
@@ -421,7 +472,7 @@
         service = self.table.services.get(self.service)
         routers = max(of.fleet.routers, 1)
         most = max(service.connection_limit // routers, LEAST_CONNECTIONS) if service else LEAST_CONNECTIONS
-        store = of.store_for() if self.parts else None
+        store = of.store_for(self.parts) if self.parts else None
         if not self.tried:
             of.outcomes.asked([each.id for each in endpoints], max(len(endpoints), 1), now)
         of.index.age(now)
@@ -471,6 +522,9 @@
         best = choose(found, of.chance)
         if best is None:
             return None, wait
+        if self.standing.over and expected_ms(best) > self.route.aim_ms and not self.sends:
+            self.over_share = True
+            return None, float("inf")
         if self.long and (late := expected_ms(best) - self.patience_ms(now)) > 0:
             # It would be given up before its first piece: the reading is spared, and it may come back.
             self.count("shed")
@@ -546,7 +600,8 @@
             if held := of.index.kept(each.id, salt.text, shared):
                 found.append(Holder(each.address, each.zone, held, service.link_mbps))
         if store and store.store_address:
-            if held := of.index.store.held(salt.text, shared):
+            contents = of.index.store(address_text(store.store_address).decode())
+            if held := contents.held(salt.text, shared):
                 found.append(Holder(store.store_address, store.store_zone, held, store.link_mbps))
         return found
 
@@ -558,8 +613,10 @@
         load.running += 1
         if not self.long:
             load.unread += picked.candidate.missing
+        read_ms = expected_ms(reading_of(picked.candidate))
+        of.shares.sent(self.service, self.owner(), self.tokens / READ_RATE, read_ms)
         if lanes := of.lanes.get(self.service):
-            lanes.work.add(of.clock(), expected_ms(reading_of(picked.candidate)) + self.work_ms, self.long)
+            lanes.work.add(of.clock(), read_ms + self.work_ms, self.long)
         send = Send(self, picked, load, call)
         try:
             return await send.run()
@@ -580,6 +637,8 @@
         elif self.started:
             self.count("cut")
             self.exchange.abort()
+        elif self.over_share and not self.ran:
+            self.answer(429, "over-share", self.standing.wait)
         elif not self.ran:
             least, most = COME_BACK
             self.answer(503, "refused", min(max(self.come_back, least), most))
@@ -614,7 +673,8 @@
         self.load, self.call = load, call
         self.unread = 0.0 if job.long else picked.candidate.missing
         self.number = 0  # under which the others were told of it
-        self.saves = self.told = False
+        self.saves = ""
+        self.told = False
         self.began = 0.0
         self.wrote = False  # a piece of this answer's body has come
 
@@ -712,22 +772,22 @@
             else:
                 headers.append((b"cache-salt", self.salt.text.encode()))
                 headers.append((b"expect-version", b"%d" % self.salt.version))
-                store = self.of.store_for() if job.parts else None
+                store = self.of.store_for(job.parts) if job.parts else None
                 # A short request's parts are read faster than they wait for the store's link.
                 address = store.store_address if store and job.long else None
                 if source := self.candidate.source or address:
                     headers.append((b"kv-fetch", address_text(source)))
-                if address and self.worth_saving():
-                    self.saves = True
+                if address and self.worth_saving(address_text(address).decode()):
+                    self.saves = address_text(address).decode()
                     headers.append((b"kv-save", address_text(address)))
         return headers
 
-    def worth_saving(self) -> bool:
+    def worth_saving(self, store: str) -> bool:
         """Whether the store may lack a shared part; saving a long prompt again would keep its link busy."""
         shared = self.job.parts[:-1]
         if self.salt is None or not shared:
             return False
-        return self.of.index.store.lacks(self.of.clock(), self.salt.text, shared)
+        return self.of.index.store(store).lacks(self.of.clock(), self.salt.text, shared)
 
     def broken(self) -> Proof:
         """The connection has ended without a whole answer."""
@@ -795,6 +855,7 @@
         if status < 500 and status != 429:
             return None if not job.started else Proof.NOT_RUN
         self.count("turned-away")
+        of.shares.ended(job.service, True)
         wait = seconds(value_of(headers, b"retry-after"))
         of.outcomes.refused(self.call, now, wait)
         job.come_back = max(wait, of.outcomes.ready_in(key, now)) if wait else COME_BACK[0]
@@ -857,7 +918,9 @@
         self.wrote = True
         self.release()
         now = self.of.clock()
-        self.load.first_piece(now, (now - self.began) * 1000 - expected_ms(self.candidate))
+        excess_ms = (now - self.began) * 1000 - expected_ms(self.candidate)
+        self.load.first_piece(now, excess_ms)
+        self.of.shares.ended(self.job.service, excess_ms > self.job.route.aim_ms / 2)
 
     def keep(self, connection: UpstreamConnection, headers: Headers) -> None:
         self.job.connection = None
--- a/plumline/router/following.py
+++ b/plumline/router/following.py
@@ -20,7 +20,7 @@
 from plumline.counters import Counters
 from plumline.errors import FrameError, PlumlineError
 from plumline.routing.fleet import Fleet
-from plumline.settings import Settings
+from plumline.settings import Settings, SettingsFile
 from plumline.wire.frames import FrameLink, hello
 
 SOURCES = 2
@@ -45,11 +45,15 @@
 
 
 class Follower:
-    def __init__(self, settings: Settings, fleet: Fleet, counters: Counters) -> None:
+    def __init__(
+        self, settings: Settings, fleet: Fleet, counters: Counters, file: SettingsFile | None = None
+    ) -> None:
+        """`file`: looked at now and then for other seeds."""
+        self.file = file or SettingsFile(None)
         self.settings, self.fleet, self.counters = settings, fleet, counters
         self.loop = asyncio.get_running_loop()
         port = settings.internal_ports[0]
-        self.seeds = [f"{ip}:{port}" for ip, _ in settings.seed_addresses]
+        self.seeds = settings.seeds
         self.registrars: dict[str, str] = {}  # address -> zone, as told by the newest beat
         self.topics = Topics()
         self.sources: dict[str, Source] = {}
@@ -57,8 +61,8 @@
         self.state = State()
         self.news: list[list[Any]] = []  # of this router's prompts, not yet sent
         self.on_news: Callable[[str, list[Any]], None] = lambda node, events: None
-        self.work: Callable[[], dict[str, list[float]]] = dict  # this router's, for heartbeats
-        self.on_work: Callable[[dict[str, list[float]]], None] = lambda work: None  # the fleet's
+        self.work: Callable[[], dict[str, list[Any]]] = dict  # this router's, for heartbeats
+        self.on_work: Callable[[dict[str, list[Any]]], None] = lambda work: None  # the fleet's
         self.primary: Source | None = None  # the one over which news come and go
         self.greeting = hello(
             settings.node_name, "router", f"{settings.ip_address}:{port}", settings.zone
@@ -94,9 +98,14 @@
             others = [each for each in fresh if each is not source and each.address in wanted]
             if address not in wanted and (len(others) >= min(SOURCES, len(wanted)) or not source.link):
                 self.drop(source)
-        self.fleet.fresh = bool(fresh)
+        self.note_fresh(now)
         self.choose_primary(fresh)
 
+    def note_fresh(self, now: float) -> None:
+        self.fleet.fresh = any(each.fresh for each in self.sources.values())
+        if self.fleet.fresh:
+            self.fleet.fresh_at = now
+
     def choose_primary(self, fresh: list[Source]) -> None:
         if self.primary in fresh:
             return
@@ -184,7 +193,7 @@
                         if routers != self.fleet.routers:
                             self.fleet.routers = routers
                             self.fleet.tell("members")
-                    self.fleet.fresh = any(each.fresh for each in self.sources.values())
+                    self.note_fresh(now)
                 case ["entry", int(number), list(change)]:
                     if number == self.fleet.place + 1:
                         self.take(number, self.state.apply(change))
@@ -239,6 +248,8 @@
         beat_at = 0.0
         while True:
             now = self.loop.time()
+            if (changed := self.file.changed(now)) is not None:
+                self.seeds = changed.seeds
             self.look(now)
             if now >= beat_at:
                 beat_at = now + self.settings.heartbeat_interval_ms / 1000
--- a/plumline/routing/fleet.py
+++ b/plumline/routing/fleet.py
@@ -75,6 +75,7 @@
         self.stores: dict[str, dict[str, Any]] = {}  # name -> {"up": bool, "epoch": int}
         self.endpoints: dict[str, Endpoint] = {}
         self.routers = 1  # alive in the fleet, this one included
+        self.fresh_at = -1e9  # steady s at which `fresh` last held
         self.fresh = False  # a source that is itself in touch with the core's majority feeds us now
         #: Told "configuration", "endpoints", "stores" or "members".
         self.watchers: list[Callable[[str], None]] = []
--- a/plumline/settings.py
+++ b/plumline/settings.py
@@ -104,6 +104,11 @@
     cloud_lag_ms: float = 0
     cloud_duties: tuple[str, ...] = ()
 
+    @property
+    def seeds(self) -> list[str]:
+        """The seeds' internal addresses, "ip:port": all machines have the same ports."""
+        return [f"{ip}:{self.internal_ports[0]}" for ip, _ in self.seed_addresses]
+
     @property
     def internal_address(self) -> Address:
         """Where this process listens for others of the system."""
@@ -236,3 +241,42 @@
         cloud_lag_ms=cloud.get("LagMs", 0),
         cloud_duties=tuple(cloud.get("Duties", ())),
     )
+
+
+class SettingsFile:
+    """The file on disk, looked at again now and then: it may change with SIGHUP or without a signal."""
+
+    LOOK = 2.0  # s between looks
+
+    def __init__(self, path: str | os.PathLike[str] | None) -> None:
+        """None: there is no file, and nothing ever changes."""
+        self.path = path
+        self.mark = self._mark()
+        self.look_at = 0.0
+
+    def _mark(self) -> tuple[int, int] | None:
+        try:
+            found = os.stat(self.path) if self.path is not None else None
+        except OSError:
+            return None
+        return (found.st_mtime_ns, found.st_size) if found else None
+
+    def hurry(self) -> None:
+        """SIGHUP: the next look reads it, changed by its mark or not."""
+        self.mark, self.look_at = None, 0.0
+
+    def changed(self, now: float) -> Settings | None:
+        """New settings if the file was written since the last look and can be read; else None. One that can't
+        be read now is read again at the next look: what is in force stays so."""
+        if self.path is None or now < self.look_at:
+            return None
+        self.look_at = now + self.LOOK
+        mark = self._mark()
+        if mark is None or mark == self.mark:
+            return None
+        try:
+            settings = load(self.path)
+        except SettingsInvalidError:
+            return None
+        self.mark = mark
+        return settings
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -224,6 +225,22 @@
     return await Router(configuration, *peers, budget=budget).start()
 
 
+def test_where_revocation_is_closed_a_router_out_of_touch_takes_no_key() -> None:
+    async def work() -> None:
+        peer = Peer("e1", answer())
+        router = await made(document(), peer)
+        dispatcher = router.dispatcher
+        router.fleet.fresh_at = dispatcher.clock() - 60.0
+        assert (await router.ask())[0] == 200  # not closed: it serves on what it knows
+        dispatcher.bounds = replace(dispatcher.bounds, revocation_closed=True, revocation_ms=5000)
+        assert (await router.ask())[0] == 503
+        router.fleet.fresh_at = dispatcher.clock() - 3.0
+        assert (await router.ask())[0] == 200
+        assert len(peer.heads) == 2
+
+    within(work())
+
+
 def test_request_and_answer_go_through_unchanged_and_the_connection_is_kept() -> None:
     async def work() -> None:
         peer = Peer("e1", answer(201, b"body", X_More="1"))
--- a/tests/test_prompt_index.py
+++ b/tests/test_prompt_index.py
@@ -20,12 +20,13 @@
 from plumline.routing.sources import SETUP_MS, Holder, best_fetch
 
 A, B = ("10.0.0.1", 1), ("10.0.0.2", 1)
+STORE = "10.9.9.9:1"
 PARTS = [("system", 800), ("subject", 4000), ("own", 300)]
 
 
 def placed(endpoint: str = "e1", parts: list[tuple[str, int]] | None = None, at: float = 0.0) -> Placement:
     parts = PARTS if parts is None else parts
-    return Placement(endpoint, "s", parts, float(sum(n for _, n in parts)), True, at)
+    return Placement(endpoint, "s", parts, float(sum(n for _, n in parts)), STORE, at)
 
 
 def test_a_prompt_is_backlog_until_it_is_read_and_kept_from_then_on() -> None:
@@ -48,7 +49,7 @@
 
 
 def test_what_a_store_holds_is_what_its_events_told() -> None:
-    store = PromptIndex(lambda _: 0.0).store
+    store = PromptIndex(lambda _: 0.0).store(STORE)
     shared = PARTS[:2]
     assert store.lacks(0.0, "s", shared)
     store.sent(0.0, "s", shared)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -7,7 +7,7 @@
 from plumline.counters import Counters
 from plumline.errors import SettingsInvalidError
 from plumline.logs import configure, logger, words
-from plumline.settings import Bounds, MachineLimits, from_environment, load
+from plumline.settings import Bounds, MachineLimits, SettingsFile, from_environment, load
 
 EXAMPLE = """
 NodeName = "core-1"
@@ -184,3 +184,32 @@
     assert shown["b"] == 1
     assert counters.lines() == ["counter=b total=3 change=2"]
     assert counters.lines() == []
+
+
+def test_a_file_that_was_written_anew_is_read_at_the_next_look(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(LEAST)
+    file = SettingsFile(path)
+    assert file.changed(0.0) is None
+    path.write_text(LEAST + 'SeedAddresses = ["10.0.0.9:5"]\n')
+    assert file.changed(SettingsFile.LOOK / 2) is None  # not looked at yet
+    changed = file.changed(SettingsFile.LOOK)
+    assert changed is not None and changed.seeds == ["10.0.0.9:1"]
+    assert file.changed(2 * SettingsFile.LOOK) is None
+    # After SIGHUP it is read at once, also if nothing shows that it was written.
+    file.hurry()
+    assert file.changed(2 * SettingsFile.LOOK + 0.1) is not None
+
+
+def test_a_file_that_cannot_be_read_changes_nothing_and_is_tried_again(tmp_path: Path) -> None:
+    path = tmp_path / "settings.toml"
+    path.write_text(LEAST)
+    file = SettingsFile(path)
+    path.write_text("NodeName = ")
+    assert file.changed(10.0) is None
+    path.unlink()
+    assert file.changed(20.0) is None
+    path.write_text(LEAST + 'Zone = "z"\n')
+    changed = file.changed(30.0)
+    assert changed is not None and changed.zone == "z"
+    assert SettingsFile(None).changed(1e9) is None
--- /dev/null
+++ b/tests/test_shares.py
@@ -0,0 +1,382 @@
+"""Shares of a service's work: the division, the buckets, what goes over the wire; times are made up."""
+
+import math
+import random
+from collections import Counter
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plumline.routing import shares
+from plumline.routing.shares import (
+    CALM,
+    Account,
+    Shares,
+    Standing,
+    allowed,
+    is_told,
+    priority,
+    summed,
+    to_wire,
+)
+
+ASKED = st.dictionaries(st.sampled_from("abcdefgh"), st.floats(0, 5000), max_size=8)
+PARTS = st.dictionaries(st.sampled_from("abcdefgh"), st.floats(0, 0.125), max_size=8)
+CAPACITY = st.floats(1, 10_000)
+
+
+# --- the division
+
+
+@given(CAPACITY, ASKED, PARTS)
+def test_nobody_gets_more_than_it_asks_and_each_gets_its_reserve_if_it_asks_for_it(
+    capacity: float, asked: dict[str, float], parts: dict[str, float]
+) -> None:
+    reserved = {tenant: part * capacity for tenant, part in parts.items()}
+    got = allowed(capacity, asked, reserved)
+    assert got.keys() == asked.keys()
+    for tenant, each in got.items():
+        assert each <= asked[tenant]
+        assert each >= min(asked[tenant], reserved.get(tenant, 0.0))
+
+
+@given(CAPACITY, ASKED, PARTS)
+def test_the_capacity_is_used_up_if_there_is_demand_and_never_exceeded(
+    capacity: float, asked: dict[str, float], parts: dict[str, float]
+) -> None:
+    reserved = {tenant: part * capacity for tenant, part in parts.items()}
+    total = sum(allowed(capacity, asked, reserved).values())
+    assert total == pytest.approx(min(capacity, sum(asked.values())), rel=1e-6, abs=1e-6)
+
+
+@given(CAPACITY, ASKED, PARTS, st.randoms())
+def test_the_order_of_tenants_does_not_matter(
+    capacity: float, asked: dict[str, float], parts: dict[str, float], chance: random.Random
+) -> None:
+    reserved = {tenant: part * capacity for tenant, part in parts.items()}
+    mixed = list(asked)
+    chance.shuffle(mixed)
+    other = allowed(capacity, {tenant: asked[tenant] for tenant in mixed}, reserved)
+    assert other == pytest.approx(allowed(capacity, asked, reserved), rel=1e-6, abs=1e-6)
+
+
+@given(CAPACITY, ASKED, PARTS)
+def test_who_gets_less_than_it_asks_has_no_less_than_any_other_beyond_its_reserve(
+    capacity: float, asked: dict[str, float], parts: dict[str, float]
+) -> None:
+    reserved = {tenant: part * capacity for tenant, part in parts.items()}
+    got = allowed(capacity, asked, reserved)
+    short = [each for tenant, each in got.items() if each < asked[tenant] * (1 - 1e-9)]
+    if short:
+        least = min(short) * (1 + 1e-6) + 1e-6
+        assert all(each <= max(least, reserved.get(tenant, 0.0)) for tenant, each in got.items())
+
+
+@pytest.mark.parametrize(
+    ("asked", "reserved", "expected"),
+    [
+        ({"a": 30, "b": 40}, {"a": 50}, {"a": 30, "b": 40}),
+        ({"a": 30, "b": 400}, {"a": 50}, {"a": 30, "b": 70}),  # what a leaves of its reserve is lent
+        ({"a": 500, "b": 400}, {"a": 70}, {"a": 70, "b": 30}),
+        ({"a": 500, "b": 10, "c": 400}, {"a": 40}, {"a": 45, "b": 10, "c": 45}),
+        ({"a": 300, "b": 300, "c": 300, "d": 10}, {}, {"a": 30, "b": 30, "c": 30, "d": 10}),
+        ({"a": 300, "b": 300}, {"a": 100}, {"a": 100, "b": 0}),
+    ],
+)
+def test_divisions_of_a_hundred(
+    asked: dict[str, float], reserved: dict[str, float], expected: dict[str, float]
+) -> None:
+    assert allowed(100, asked, reserved) == pytest.approx(expected)
+
+
+# --- priorities
+
+
+def test_priorities_in_a_surge_put_the_tenant_in_its_share_first_then_length_then_rank() -> None:
+    calm = [priority(rank, long, 4, CALM) for long in (False, True) for rank in range(5)]
+    assert calm == list(range(10))
+    places = [
+        [
+            priority(rank, long, 4, Standing(1.5, surging, over, 0.3 * over))
+            for long in (False, True)
+            for rank in range(5)
+        ]
+        for surging, over in ((False, False), (True, False), (True, True))
+    ]
+    for tier in places:
+        assert tier == sorted(tier) and max(tier[:5]) < min(tier[5:])
+    assert max(places[0]) < min(places[1]) and max(places[1]) < min(places[2]) and max(places[2]) == 9
+
+
+# --- buckets
+
+
+def test_a_bucket_lets_its_rate_through_and_says_when_it_has_tokens_again() -> None:
+    account = Account()
+    passed, now = 0.0, 100.0
+    while now < 110.0:
+        if account.spend(now, 50.0, 200.0) == 0.0:
+            passed += 50.0
+        now += 0.01
+    assert passed == pytest.approx(10 * 200.0, abs=60)
+    wait = account.spend(now, 50.0, 200.0)
+    while not wait:
+        wait = account.spend(now, 50.0, 200.0)
+    assert account.spend(now + wait * 0.9, 50.0, 200.0) > 0
+    assert account.spend(now + wait * 1.01, 50.0, 200.0) == 0.0
+
+
+def test_a_request_larger_than_the_bucket_passes_and_is_paid_for_afterwards() -> None:
+    account = Account()
+    assert account.spend(10.0, 900.0, 100.0) == 0.0
+    assert account.spend(11.0, 900.0, 100.0) == shares.MOST_WAIT_S
+    assert account.spend(18.9, 900.0, 100.0) > 0.0
+    assert account.spend(19.2, 900.0, 100.0) == 0.0
+
+
+def test_a_bucket_without_a_rate_is_empty() -> None:
+    account = Account()
+    assert account.spend(10.0, 1.0, 0.0) == account.spend(1e9, 1.0, 0.0) == shares.MOST_WAIT_S
+
+
+# --- what goes over the wire
+
+
+def test_the_largest_tenants_are_told_by_name_and_the_rest_as_one_sum() -> None:
+    asked = {f"t{n}": float(n) for n in range(40)}
+    named, rest, others = to_wire(asked, 16)
+    assert set(named) == {f"t{n}" for n in range(24, 40)}
+    assert (rest, others) == (sum(range(24)), 24)
+
+
+def test_routers_are_summed_and_what_is_malformed_counts_nothing() -> None:
+    told = [[{"a": 10.0, "b": 1}, 5.0, 2], [{"a": 20.5}, 1.0, 7]]
+    malformed = ["x", [{"a": "1"}, 0, 0], [{"a": math.nan}, 0, 0], [{"a": -1.0}, 0, 0]]
+    assert summed([*malformed, *told]) == [{"a": 30.5, "b": 1.0}, 6.0, 7]
+    assert summed(["x", None, [{}, -1.0, 0], [{}, 0, True]]) is None
+    many = summed([[{f"{router}-{n}": 1.0 for n in range(16)}, 0.0, 0] for router in range(10)])
+    assert many is not None and is_told(many)
+    assert len(many[0]) == shares.MOST_SUMMED and many[1:] == [96.0, 96]
+
+
+# --- a fleet of them, in made-up time
+
+
+class Routers:
+    """Some routers' shares of a service "s" with two endpoints; their heartbeats go round every second."""
+
+    def __init__(self, count: int, reserved: dict[str, float], told: bool = True, endpoints: int = 2) -> None:
+        self.now, self.told, self.told_at = 1000.0, told, 0.0
+        self.each = [Shares() for _ in range(count)]
+        for each in self.each:
+            each.set_endpoints({"s": endpoints})
+            each.set_reserved(reserved)
+        self.capacity = endpoints * 1000 * shares.USE
+        self.passed: dict[str, float] = Counter()
+        self.refused: Counter[str] = Counter()
+        self.late: dict[str, float] = Counter()  # sent although over the share
+        self.chance = random.Random(5)
+
+    def ask(self, router: int, tenant: str, ms: float) -> Standing:
+        each = self.each[router]
+        found = each.ask(self.now, "s", tenant, (ms, 0.0), len(self.each))
+        if found.refused:
+            self.refused[tenant] += 1
+        elif found.over:
+            self.late[tenant] += ms
+        else:
+            self.passed[tenant] += ms
+            each.sent("s", tenant, ms, ms)
+        return found
+
+    def run(self, seconds: float, rates: dict[str, float], ms: float, to: Callable[[], int]) -> None:
+        """Poisson arrivals of requests of `ms` each; `rates` in ms a second for the whole fleet."""
+        self.passed.clear(), self.refused.clear(), self.late.clear()
+        total = sum(rates.values()) / ms
+        ends = self.now + seconds
+        while self.now < ends:
+            self.now += self.chance.expovariate(total)
+            tenant = self.chance.choices(list(rates), list(rates.values()))[0]
+            self.ask(to(), tenant, ms)
+            if self.told and self.now - self.told_at >= 1.0:
+                self.told_at = self.now
+                demand = summed(each.demand(self.now, "s") for each in self.each)
+                for each in self.each:
+                    each.take(self.now, "s", demand)
+
+    def anywhere(self) -> int:
+        return self.chance.randrange(len(self.each))
+
+
+RESERVED = {"library": 0.3, "guides": 0.2}
+USUAL = {"library": 250.0, "guides": 200.0, "other": 300.0}
+
+
+def test_below_the_capacity_every_request_stands_as_if_nothing_were_reserved() -> None:
+    fleet = Routers(3, RESERVED)
+    for _ in range(2000):
+        fleet.now += 0.08
+        assert fleet.ask(fleet.anywhere(), fleet.chance.choice("abc"), 30.0) is CALM
+
+
+@pytest.mark.parametrize("told", [True, False], ids=["told", "untold"])
+@pytest.mark.parametrize("routers", [1, 4])
+def test_a_flood_is_held_to_what_the_others_leave_and_nobody_else_is_refused(
+    routers: int, told: bool
+) -> None:
+    fleet = Routers(routers, RESERVED, told)
+    fleet.run(20, USUAL, 30.0, fleet.anywhere)
+    assert not fleet.refused
+    flood = USUAL | {"other": 3000.0}
+    fleet.run(1, flood, 30.0, fleet.anywhere)
+    assert fleet.passed["other"] < 2500
+    fleet.run(20, flood, 30.0, fleet.anywhere)
+    assert set(fleet.refused) == {"other"}
+    left = fleet.capacity - USUAL["library"] - USUAL["guides"]
+    assert 0.8 * left < fleet.passed["other"] / 20 < 1.2 * left
+    fleet.run(10, USUAL, 30.0, fleet.anywhere)
+    fleet.run(20, USUAL, 30.0, fleet.anywhere)
+    assert not fleet.refused  # it is over
+
+
+def test_the_share_is_the_fleets_however_a_flood_is_spread_over_the_routers() -> None:
+    fleet = Routers(4, RESERVED)
+    uneven = [0, 0, 0, 0, 0, 0, 0, 1, 1, 2, 3]
+    fleet.run(10, USUAL | {"other": 4000.0}, 30.0, lambda: fleet.chance.choice(uneven))
+    fleet.run(20, USUAL | {"other": 4000.0}, 30.0, lambda: fleet.chance.choice(uneven))
+    left = fleet.capacity - USUAL["library"] - USUAL["guides"]
+    assert fleet.passed["other"] / 20 < 1.25 * left
+    assert fleet.refused["library"] + fleet.refused["guides"] <= 2
+
+
+def test_a_tenant_that_asks_for_more_than_its_reserve_still_gets_it_whole() -> None:
+    fleet = Routers(3, {"library": 0.5})
+    rates = {"library": 1600.0, "other": 1600.0, "third": 1600.0}
+    fleet.run(5, rates, 20.0, fleet.anywhere)
+    fleet.run(20, rates, 20.0, fleet.anywhere)
+    assert fleet.passed["library"] / 20 == pytest.approx(0.5 * fleet.capacity, rel=0.15)
+    assert fleet.passed["other"] / 20 == pytest.approx(0.25 * fleet.capacity, rel=0.15)
+
+
+def test_in_a_slight_surge_what_is_over_a_share_is_not_refused_but_goes_last() -> None:
+    fleet = Routers(2, RESERVED)
+    rates = {"library": 300.0, "other": 1430.0}  # 1.08 of the capacity
+    fleet.run(10, rates, 10.0, fleet.anywhere)
+    fleet.run(20, rates, 10.0, fleet.anywhere)
+    assert fleet.late["other"] > 0 and fleet.late["library"] == 0
+    assert fleet.refused["library"] == 0 and fleet.refused["other"] * 10.0 < 0.05 * 1430 * 20
+
+
+def test_a_refused_client_is_told_a_time_within_bounds() -> None:
+    fleet = Routers(1, RESERVED)
+    found = []
+    for _ in range(50):
+        fleet.now += 0.02
+        found.append(fleet.ask(0, "other", 200.0))
+    waits = {each.wait for each in found if each.refused}
+    assert waits and all(shares.LEAST_WAIT_S <= each <= shares.MOST_WAIT_S for each in waits)
+
+
+def test_prompts_whose_parts_are_kept_count_for_what_is_read_of_them() -> None:
+    fleet = Routers(1, RESERVED)
+    each = fleet.each[0]
+    for _ in range(400):  # 2,500 ms of prompts a second, of which a tenth is read
+        fleet.now += 0.02
+        standing = each.ask(fleet.now, "s", "other", (50.0, 0.0), 1)
+        each.sent("s", "other", 50.0, 5.0)
+    assert standing is CALM
+    demand = each.demand(fleet.now, "s")
+    assert demand is not None and demand[0]["other"] == pytest.approx(250, rel=0.1)
+
+
+def test_nothing_is_counted_where_nothing_is_reserved() -> None:
+    fleet = Routers(1, {})
+    for _ in range(500):
+        assert fleet.ask(0, "other", 100.0) is CALM
+    assert fleet.each[0].demand(fleet.now, "s") is None and not fleet.each[0].services["s"].accounts
+
+
+def test_the_end_of_a_reserve_ends_the_counting() -> None:
+    fleet = Routers(1, RESERVED)
+    for _ in range(500):
+        fleet.now += 0.01
+        fleet.ask(0, "other", 100.0)
+    assert fleet.refused["other"]
+    fleet.each[0].set_reserved({})
+    assert fleet.ask(0, "other", 100.0) is CALM
+    assert not fleet.each[0].services["s"].accounts
+
+
+def test_tenants_that_are_gone_are_forgotten_and_old_news_is_void() -> None:
+    fleet = Routers(1, RESERVED)
+    each = fleet.each[0]
+    for n in range(300):
+        fleet.ask(0, f"t{n}", 1.0)
+    each.take(fleet.now, "s", [{"far": 99999.0}, 0.0, 0])
+    fleet.now += shares.IDLE_S + 1
+    assert fleet.ask(0, "new", 1.0) is CALM
+    assert set(each.services["s"].accounts) == {"new"} and each.services["s"].told is None
+
+
+def test_many_small_tenants_told_as_one_sum_are_not_taken_for_one() -> None:
+    fleet = Routers(1, RESERVED)
+    each = fleet.each[0]
+    each.take(fleet.now, "s", [{"flood": 3000.0}, 800.0, 40])  # 20 ms a second each
+    fleet.ask(0, "small", 20.0)
+    assert each.services["s"].level == pytest.approx(fleet.capacity - 800.0, rel=0.05)
+
+
+def test_a_surge_is_told_when_it_begins_and_when_it_has_been_over_for_a_while() -> None:
+    fleet, news = Routers(1, RESERVED), []
+    fleet.each[0].news = lambda service, on, times: news.append((service, on))
+    for _ in range(300):
+        fleet.now += 0.01
+        fleet.ask(0, "other", 50.0)
+    assert news == [("s", True)]
+    for _ in range(300):
+        fleet.now += 0.1
+        fleet.ask(0, "other", 5.0)
+    assert news == [("s", True), ("s", False)]
+
+
+def strained(fleet: Routers, seconds: float, strain: bool) -> None:
+    """20 requests of 20 ms a second, a quarter of what two endpoints can do, and the ends of their sends."""
+    for _ in range(round(seconds * 20)):
+        fleet.now += 0.05
+        fleet.ask(0, "other", 20.0)
+        fleet.each[0].ended("s", strain)
+
+
+def test_endpoints_that_are_late_or_full_are_taken_for_less_and_come_back() -> None:
+    fleet = Routers(1, RESERVED)
+    at = fleet.each[0].services["s"]
+    strained(fleet, 2, False)
+    assert at.ability == 1.0
+    strained(fleet, 10, True)
+    assert at.ability == shares.LEAST_ABILITY and at.surge == 0.0  # there is room all the same
+    for _ in range(60):
+        fleet.now += 0.01
+        fleet.ask(0, "other", 20.0)
+    assert at.surge > 1 and at.level <= fleet.capacity * shares.LEAST_ABILITY
+    strained(fleet, 30, False)
+    assert at.ability == 1.0 and at.surge == 0.0
+
+
+def test_a_late_answer_now_and_then_is_no_strain() -> None:
+    fleet = Routers(1, RESERVED)
+    for n in range(400):
+        fleet.now += 0.05
+        fleet.ask(0, "other", 20.0)
+        fleet.each[0].ended("s", n % 20 == 0)
+    assert fleet.each[0].services["s"].ability == 1.0
+    fleet.each[0].ended("unknown", True)
+
+
+def test_an_unknown_service_and_one_without_endpoints_hold_nothing_back() -> None:
+    fleet = Routers(1, RESERVED, endpoints=0)
+    for _ in range(100):
+        assert fleet.ask(0, "other", 500.0) is CALM
+        assert fleet.each[0].ask(fleet.now, "unknown", "other", (500.0, 0.0), 1) is CALM
+    fleet.each[0].take(fleet.now, "unknown", [{}, 0.0, 0])
