--- a/plumline/counters.py
+++ b/plumline/counters.py
@@ -1,5 +1,7 @@
 """Counts of what happened, by name; a summary of them is logged now and then."""
 
+from collections.abc import Iterator, MutableMapping
+
 
 class Counters:
     __slots__ = ("_counts", "_told")
@@ -14,6 +16,10 @@
     def get(self, name: str) -> int:
         return self._counts.get(name, 0)
 
+    def under(self, group: str) -> MutableMapping[str, int]:
+        """The counts named GROUP.KEY as a mapping by KEY, for whoever counts in a plain one."""
+        return CounterGroup(self._counts, f"{group}.")
+
     def snapshot(self) -> dict[str, int]:
         return dict(self._counts)
 
@@ -26,3 +32,27 @@
         ]
         self._told = dict(self._counts)
         return found
+
+
+class CounterGroup(MutableMapping[str, int]):
+    """The counts whose names begin with `prefix`, by what follows it; a view, not a copy."""
+
+    __slots__ = ("_counts", "_prefix")
+
+    def __init__(self, counts: dict[str, int], prefix: str) -> None:
+        self._counts, self._prefix = counts, prefix
+
+    def __getitem__(self, key: str) -> int:
+        return self._counts[self._prefix + key]
+
+    def __setitem__(self, key: str, count: int) -> None:
+        self._counts[self._prefix + key] = count
+
+    def __delitem__(self, key: str) -> None:
+        del self._counts[self._prefix + key]
+
+    def __iter__(self) -> Iterator[str]:
+        return (name.removeprefix(self._prefix) for name in self._counts if name.startswith(self._prefix))
+
+    def __len__(self) -> int:
+        return sum(name.startswith(self._prefix) for name in self._counts)
--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -326,7 +326,7 @@
             await self.known.wait()
         await self.mesh.listen(settings.internal_address)
         if settings.control_plane is not None:
-            self.server = Server(self.operators.handle)
+            self.server = Server(self.operators.handle, counters=self.counters.under("clients"))
             await self.server.listen(settings.control_plane)
         self.loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.settings_file.hurry)
--- /dev/null
+++ b/plumline/router/admission.py
@@ -0,0 +1,142 @@
+"""What a request's head says: its route, tenant and prompt, its time, and whether it is admitted."""
+
+from dataclasses import dataclass
+
+from plumline.configuration.routes import Route, RouteTable, Tenant
+from plumline.router.relay import Headers, request_headers, value_of
+from plumline.router.state import RouterState
+from plumline.routing.choice import READ_RATE
+from plumline.routing.lanes import TOKEN_MS, is_long
+from plumline.routing.loads import Part, output_tokens, parse_parts, prompt_tokens
+from plumline.routing.shares import Standing, priority
+from plumline.wire.exchange import Exchange
+
+NOT_YET = 0.3  # s a client is told where no configuration is here yet
+MOST_RANK = 4  # ranks from here on count alike: an endpoint knows ten, two for each
+
+
+@dataclass(slots=True)
+class Prompt:
+    model: str  # empty: the request is for no model
+    parts: list[Part]
+    tokens: int  # to be read
+    work_ms: float  # of an endpoint's time beside its reading
+    long: bool
+
+
+@dataclass(slots=True)
+class Request:
+    """One that has been admitted."""
+
+    exchange: Exchange
+    id: bytes | None  # its `Attempt-Id`
+    method: bytes
+    target: bytes
+    table: RouteTable
+    route: Route
+    tenant: Tenant | None
+    service: str
+    base: Headers  # that go with every send
+    until: float  # steady s at which the client or the route gives up
+    prompt: Prompt
+    standing: Standing  # towards its tenant's share
+    priority: int
+
+    @property
+    def owner(self) -> str:
+        return owner_of(self.tenant)
+
+    @property
+    def isolated(self) -> str | None:
+        """The tenant that shares what it keeps with no other."""
+        return self.tenant.name if self.tenant and self.tenant.isolated else None
+
+
+@dataclass(slots=True)
+class Denial:
+    """The answer to one that has not been. `come_back`: in s."""
+
+    status: int
+    name: str
+    come_back: float | None = None
+
+
+def admit(router: RouterState, exchange: Exchange, request_id: bytes | None) -> Request | Denial:
+    fleet = router.fleet
+    table = fleet.table
+    if table is None:
+        return Denial(503, "no-configuration", NOT_YET)
+    if router.may_know_revoked_keys():
+        return Denial(503, "revocation-unsure", NOT_YET)
+    route = table.match(exchange.host, exchange.path)
+    if route is None:
+        return denied(router, 404, "no-route")
+    tenant = None
+    keys = {value for name, value in exchange.headers if name == b"x-api-key"}
+    if len(keys) == 1:
+        tenant = table.tenant_of(next(iter(keys)).decode("latin-1").strip())
+    if table.has_tenants and tenant is None and not route.public:
+        return denied(router, 401, "no-tenant")
+    now = router.clock()
+    service = route.pick(router.chance)
+    router.budget.request(now, service)
+    base = request_headers(exchange.headers)
+    if tenant:
+        base.append((b"tenant-name", tenant.name.encode()))
+    prompt = read_prompt(exchange.headers, router.shortest_aims.get(service, route.aim_ms))
+    ms = prompt.tokens / READ_RATE, prompt.work_ms
+    standing = router.shares.ask(now, service, owner_of(tenant), ms, fleet.routers)
+    if standing.refused:
+        return Denial(429, "over-share", standing.wait)
+    return Request(
+        exchange=exchange,
+        id=request_id,
+        method=exchange.method.encode("ascii"),
+        target=exchange.target.encode("latin-1"),
+        table=table,
+        route=route,
+        tenant=tenant,
+        service=service,
+        base=base,
+        until=exchange.began + min(told_time(exchange.headers), route.timeout_ms) / 1000,
+        prompt=prompt,
+        standing=standing,
+        # Short prompts go before long ones: they cost those little, the other way much.
+        priority=priority(rank_of(route, tenant), prompt.long, MOST_RANK, standing),
+    )
+
+
+def denied(router: RouterState, status: int, name: str) -> Denial:
+    """A router that may not know the newest configuration doesn't say 4xx, which nobody repeats."""
+    if router.fleet.fresh:
+        return Denial(status, name)
+    return Denial(503, f"{name}-unsure", NOT_YET)
+
+
+def owner_of(tenant: Tenant | None) -> str:
+    """Whose share it is: the tenant's; all that come without one have one together."""
+    return tenant.name if tenant else ""
+
+
+def rank_of(route: Route, tenant: Tenant | None) -> int:
+    told = tenant.priority if tenant else None
+    return min(max(route.priority if told is None else told, 0), MOST_RANK)
+
+
+def told_time(headers: Headers) -> float:
+    """Ms that the client waits, infinite if it doesn't say."""
+    told = value_of(headers, b"remaining-milliseconds")
+    if told and told.isdigit() and len(told) < 12:
+        return float(told)
+    return float("inf")
+
+
+def read_prompt(headers: Headers, aim_ms: float) -> Prompt:
+    """`aim_ms`: the shortest aim of the service's routes."""
+    model = (value_of(headers, b"model-name") or b"").decode("latin-1")
+    prefix = value_of(headers, b"prompt-prefix")
+    parts = parse_parts(prefix.decode("latin-1")) if model and prefix else []
+    counts = (value_of(headers, b"token-counts") or b"").decode("latin-1")
+    tokens = max(prompt_tokens(counts), sum(tokens for _, tokens in parts))
+    long = is_long(tokens / READ_RATE, aim_ms)
+    return Prompt(model, parts, tokens, output_tokens(counts) * TOKEN_MS, long)
--- a/plumline/router/app.py
+++ b/plumline/router/app.py
@@ -45,6 +45,7 @@
         self.server = Server(
             self.dispatcher.handle,
             lambda: self.fleet.table.limits if self.fleet.table else UNTOLD_LIMITS,
+            self.counters.under("clients"),
             held_limit=int(settings.limits.memory_mb * 1024 * 1024 * MEMORY_SHARE),
         )
         self.lifecycle = Lifecycle(self.server, self.equipped, bounds.grace_period_s)
--- a/plumline/router/following.py
+++ b/plumline/router/following.py
@@ -217,7 +217,7 @@
         self.state = self.fleet.state = state
         self.fleet.place = number
         if changed and state.configuration is not None:
-            self.fleet.table = RouteTable(state.configuration)
+            self.fleet.table = RouteTable(state.configuration, self.fleet.table)
             log.info(logs.words("configuration", version=state.version, place=number))
         self.fleet.tell("configuration")
 
--- /dev/null
+++ b/plumline/router/send.py
@@ -0,0 +1,329 @@
+"""One try at one endpoint: what goes with it, its answer relayed, and what its end proved."""
+
+from dataclasses import replace
+
+import h11
+
+from plumline.prompts.index import Placement
+from plumline.router.progress import COME_BACK, MARGIN, Proof
+from plumline.router.relay import EventJoiner, Headers, answer_headers, is_framed, value_of
+from plumline.router.selection import Picked, Selection
+from plumline.router.state import address_text
+from plumline.router.upstream import (
+    UpstreamConnectError,
+    UpstreamConnection,
+    UpstreamError,
+    UpstreamUnsentError,
+    idle_time,
+)
+from plumline.routing.choice import READ_RATE, Candidate, expected_ms
+from plumline.routing.loads import Load
+from plumline.routing.outcomes import Call
+
+SHUNNED = 1.0  # s without sends to an endpoint whose weights turned out to be others than known
+PROMISES = frozenset((408, 421, 429, 503))  # a client takes these for 'has not run and never will'
+
+
+async def attempt(selection: Selection, picked: Picked) -> Proof:
+    """One send, its answer, and what its end says of the endpoint's health."""
+    router, request, endpoint = selection.router, selection.request, picked.endpoint
+    prompt, progress = request.prompt, selection.progress
+    load = router.load(endpoint.id)
+    call = router.outcomes.begin(endpoint.id, router.clock())
+    load.running += 1
+    if not prompt.long:
+        load.unread += picked.candidate.missing
+    read_ms = expected_ms(reading_of(picked.candidate))
+    router.shares.sent(request.service, request.owner, prompt.tokens / READ_RATE, read_ms)
+    if lanes := router.lanes.get(request.service):
+        lanes.work.add(router.clock(), read_ms + prompt.work_ms, prompt.long)
+    send = Send(selection, picked, load, call)
+    try:
+        return await send.run()
+    finally:
+        load.running -= 1
+        send.finished()
+        router.outcomes.nothing(call)  # if its end hasn't said more
+        if progress.connection:
+            router.pool.drop(endpoint.id, progress.connection)
+            progress.connection = None
+
+
+def reading_of(candidate: Candidate) -> Candidate:
+    """The same request at an idle endpoint: what its own reading takes."""
+    return replace(candidate, unread=0.0, running=0, excess_ms=0.0)
+
+
+class Send:
+    """One try at one endpoint."""
+
+    def __init__(self, selection: Selection, picked: Picked, load: Load, call: Call) -> None:
+        self.selection, self.router = selection, selection.router
+        self.request, self.progress = selection.request, selection.progress
+        self.endpoint, self.salt, self.candidate = picked.endpoint, picked.salt, picked.candidate
+        self.load, self.call = load, call
+        self.unread = 0.0 if self.request.prompt.long else picked.candidate.missing
+        self.number = 0  # under which the others were told of it
+        self.saves = ""
+        self.told = False
+        self.began = 0.0
+        self.wrote = False  # a piece of this answer's body has come
+
+    def release(self) -> None:
+        """The prompt has been read, or never will be."""
+        self.load.unread = max(self.load.unread - self.unread, 0.0)
+        self.unread = 0.0
+        if self.number and self.wrote and not self.told:
+            self.told = True
+            self.router.index.read((self.router.node, self.number))
+            self.router.tell(["read", self.number])
+
+    def finished(self) -> None:
+        """Nothing of it runs any more."""
+        self.release()
+        if self.number:
+            self.router.index.done((self.router.node, self.number))
+            self.router.tell(["done", self.number])
+            self.number = 0
+
+    def place(self) -> None:
+        """A long prompt is on its way: the others are told."""
+        router, prompt = self.router, self.request.prompt
+        if not prompt.long or self.salt is None:
+            return
+        self.number = next(router.serials)
+        missing = float(self.candidate.missing - self.candidate.movable)
+        placement = Placement(self.endpoint.id, self.salt.text, prompt.parts, missing, self.saves, self.began)
+        router.index.placed((router.node, self.number), placement)
+        parts = [list(each) for each in prompt.parts]
+        router.tell(["placed", self.number, self.endpoint.id, self.salt.text, parts, missing, self.saves])
+
+    def count(self, name: str) -> None:
+        self.router.counters.add(f"send-{name}")
+
+    def still_there(self) -> bool:
+        listed = self.router.fleet.endpoints.get(self.endpoint.id)
+        return listed is not None and not listed.draining and not listed.moving
+
+    async def run(self) -> Proof:
+        request, progress, router = self.request, self.progress, self.router
+        key = self.endpoint.id
+        connection = router.pool.take_idle(key, router.clock())
+        if connection is None:
+            try:
+                connection = await router.pool.connect(key, self.endpoint.address)
+            except UpstreamConnectError:
+                progress.connects += 1
+                progress.tried.add(key)
+                router.outcomes.failed(self.call, router.clock())
+                self.count("connect-failed")
+                return Proof.NOT_RUN
+            self.count("connected")
+        progress.connection = connection
+        if progress.gone or progress.expired or not self.still_there():
+            progress.connects += 1
+            return Proof.NOT_RUN
+        self.began = router.clock()
+        left = int((request.until - self.began - MARGIN) * 1000)
+        if left <= 0:
+            progress.expired = True
+            return Proof.NOT_RUN
+        try:
+            connection.send(request.method, request.target, self.headers(left), request.exchange.body)
+        except UpstreamUnsentError:
+            progress.connects += 1
+            self.count("unsent")
+            return Proof.NOT_RUN
+        progress.sends += 1
+        progress.granted = False
+        progress.tried.add(key)
+        if self.salt:
+            router.affinity.sent(self.salt.text, request.prompt.parts, key, self.began)
+        self.place()
+        try:
+            return await self.receive(connection)
+        except UpstreamError:
+            return self.broken()
+
+    def headers(self, left: int) -> Headers:
+        """Those that go with this send; salt and `Expect-Version` are one and the same version's."""
+        request, progress = self.request, self.progress
+        exchange, prompt, key = request.exchange, request.prompt, self.endpoint.id
+        headers = list(request.base)
+        if progress.joiner and progress.started and progress.joiner.last is not None:
+            headers = [each for each in headers if each[0] != b"last-event-id"]
+            headers.append((b"last-event-id", progress.joiner.last))
+        headers.append((b"expected-instance", key.encode()))
+        headers.append((b"remaining-milliseconds", b"%d" % left))
+        if exchange.body or value_of(exchange.headers, b"content-length") is not None:
+            headers.append((b"content-length", b"%d" % len(exchange.body)))
+        if prompt.model:
+            headers.append((b"priority", b"%d" % request.priority))
+            if self.salt is None:  # of unknown weights: shared with nobody
+                headers.append((b"cache-salt", b"x%032x" % self.router.chance.getrandbits(128)))
+            else:
+                headers.append((b"cache-salt", self.salt.text.encode()))
+                headers.append((b"expect-version", b"%d" % self.salt.version))
+                store = self.router.store_for(prompt.parts) if prompt.parts else None
+                # A short request's parts are read faster than they wait for the store's link.
+                address = store.store_address if store and prompt.long else None
+                if source := self.candidate.source or address:
+                    headers.append((b"kv-fetch", address_text(source).encode()))
+                if address and self.worth_saving(address_text(address)):
+                    self.saves = address_text(address)
+                    headers.append((b"kv-save", self.saves.encode()))
+        return headers
+
+    def worth_saving(self, store: str) -> bool:
+        """Whether the store may lack a shared part; saving a long prompt again would keep its link busy."""
+        shared = self.request.prompt.parts[:-1]
+        if self.salt is None or not shared:
+            return False
+        return self.router.index.store(store).lacks(self.router.clock(), self.salt.text, shared)
+
+    def broken(self) -> Proof:
+        """The connection has ended without a whole answer."""
+        progress, now = self.progress, self.router.clock()
+        if progress.gone:
+            self.count("client-gone")
+            return Proof.MAY_HAVE_RUN
+        if progress.expired:
+            self.count("silent" if not self.wrote else "unfinished")
+            if not self.wrote:
+                self.router.outcomes.failed(self.call, now)
+            return Proof.MAY_HAVE_RUN
+        self.count("broken")
+        self.router.outcomes.failed(self.call, now)
+        return Proof.MAY_HAVE_RUN
+
+    def spoilt(self, name: str) -> Proof:
+        self.count(name)
+        self.router.outcomes.failed(self.call, self.router.clock(), error=True)
+        return Proof.MAY_HAVE_RUN
+
+    async def receive(self, connection: UpstreamConnection) -> Proof:
+        request, progress, router = self.request, self.progress, self.router
+        response = await connection.event()
+        assert isinstance(response, h11.Response)
+        status, headers = response.status_code, list(response.headers)
+        told = value_of(headers, b"attempt-id")
+        if told != request.id and not (told is None and status == 421):
+            return self.spoilt("surplus")
+        if status == 421 or value_of(headers, b"not-executed") is not None:
+            if (proof := self.turned_away(status, headers)) is not None:
+                if not progress.gone and connection.finish_now():
+                    self.keep(connection, headers)
+                return proof
+        elif status in PROMISES:
+            return self.spoilt("unproven")  # what it would promise isn't known
+        router.learn_version(self.endpoint, request.prompt.model, headers)
+        if not is_framed(request.method, status, headers):
+            return self.spoilt("unframed")
+        if 200 <= status < 300 and (
+            value_of(headers, b"server-seal") is None or value_of(headers, b"content-encoding") is not None
+        ):
+            return self.spoilt("unsealed")
+        if status >= 500 and request.route.idempotent and self.could_repeat():
+            return self.spoilt("error")
+        if progress.started and status != 200:
+            return self.spoilt("not-resumed")
+        return await self.relay(connection, status, headers)
+
+    def turned_away(self, status: int, headers: Headers) -> Proof | None:
+        """Surely not run. None: the client's own fault, which the endpoint's answer tells it."""
+        request, progress, router = self.request, self.progress, self.router
+        key, model, now = self.endpoint.id, request.prompt.model, router.clock()
+        if status == 421:
+            router.counters.add("stale-endpoint")
+            instance = value_of(headers, b"instance-id")
+            if instance is not None and instance != key.encode():
+                router.gone.add(key)
+                return Proof.NOT_RUN
+            router.learned.pop(key, None)  # what its answers told may have been wrong, or is over
+            router.learn_version(self.endpoint, model, headers)
+            if self.salt is None or router.version_at(self.endpoint, model) == self.salt.version:
+                router.shunned[key] = now + SHUNNED
+            return Proof.NOT_RUN
+        if status < 500 and status != 429:
+            return None if not progress.started else Proof.NOT_RUN
+        self.count("turned-away")
+        router.shares.ended(request.service, True)
+        wait = seconds(value_of(headers, b"retry-after"))
+        router.outcomes.refused(self.call, now, wait)
+        progress.come_back = max(wait, router.outcomes.ready_in(key, now)) if wait else COME_BACK[0]
+        return Proof.NOT_RUN
+
+    def could_repeat(self) -> bool:
+        if self.progress.sends >= self.request.route.attempt_limit:
+            return False
+        return self.selection.pick(self.router.clock())[0] is not None
+
+    async def relay(self, connection: UpstreamConnection, status: int, headers: Headers) -> Proof:
+        """The body as it comes. The head waits for the first piece: a break before that can be mended."""
+        progress, exchange = self.progress, self.request.exchange
+        if not progress.started:
+            stream = (value_of(headers, b"content-type") or b"").startswith(b"text/event-stream")
+            resumable = stream and status == 200 and self.request.route.resumable
+            progress.joiner = EventJoiner() if resumable else None
+        joiner = progress.joiner
+        if joiner:
+            joiner.begin()
+        while True:
+            event = await connection.event()
+            if isinstance(event, h11.Data):
+                if not self.wrote:
+                    self.first_piece()
+                data = bytes(event.data)
+                if joiner:
+                    data = joiner.feed(data)
+                if not data:
+                    continue
+            elif isinstance(event, h11.EndOfMessage):
+                data = joiner.rest() if joiner else b""
+            else:
+                raise UpstreamError("a head within an answer")
+            if progress.gone or exchange.done:
+                return self.cut_off()
+            if not progress.started:
+                progress.started = True
+                exchange.start(status, answer_headers(headers, with_length=joiner is None))
+            if data:
+                exchange.write(data)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            await exchange.drain()
+            if progress.gone or exchange.done:
+                return self.cut_off()
+        exchange.finish()
+        self.count(f"answered-{status // 100}xx")
+        if status >= 500:
+            self.router.outcomes.failed(self.call, self.router.clock(), error=True)
+        else:
+            self.router.outcomes.served(self.call, self.router.clock())
+        self.keep(connection, headers)
+        return Proof.ANSWERED
+
+    def cut_off(self) -> Proof:
+        """The client is gone, or its time was up while it didn't read."""
+        self.count("client-gone" if self.progress.gone else "unfinished")
+        return Proof.ANSWERED
+
+    def first_piece(self) -> None:
+        self.wrote = True
+        self.release()
+        now = self.router.clock()
+        excess_ms = (now - self.began) * 1000 - expected_ms(self.candidate)
+        self.load.first_piece(now, excess_ms)
+        self.router.shares.ended(self.request.service, excess_ms > self.request.route.aim_ms / 2)
+
+    def keep(self, connection: UpstreamConnection, headers: Headers) -> None:
+        self.progress.connection = None
+        idle = idle_time(headers) if self.endpoint.id in self.router.fleet.endpoints else 0.0
+        self.router.pool.give_back(self.endpoint.id, connection, idle, self.router.clock())
+
+
+def seconds(text: bytes | None) -> float:
+    """A `Retry-After` in seconds with fractions; 0 if there is none that can be read."""
+    if text is None or len(text) > 16 or not text.replace(b".", b"", 1).isdigit():
+        return 0.0
+    return float(text)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,7 +9,7 @@
 import pytest
 from click.testing import CliRunner, Result
 
-from plumline import cli
+from plumline import cli, operator_calls
 from plumline.lab import Call, Server
 from plumline.lab.local import configuration_for
 from plumline.wire.calls import Answer
@@ -183,7 +183,7 @@
 async def settle(address: str, call: str = "configuration_read", **more: Any) -> Answer:  # noqa: ANN401
     host, _, port = address.rpartition(":")
     pause: Callable[[float], Awaitable[None]] = without_pause
-    return await cli.settle([(host, int(port))], call, pause=pause, **more)
+    return await operator_calls.settle([(host, int(port))], call, pause=pause, **more)
 
 
 @play
@@ -265,7 +265,7 @@
     async with Registrars((200, DOCUMENT)) as down, Registrars((200, DOCUMENT)) as up:
         addresses = [("127.0.0.1", down.server.port), ("127.0.0.1", up.server.port)]
         await down.server.stop()
-        answer = await cli.settle(addresses, "configuration_read", pause=without_pause)
+        answer = await operator_calls.settle(addresses, "configuration_read", pause=without_pause)
         assert (answer.status, len(down.calls), len(up.calls)) == (200, 0, 1)
 
 
@@ -279,7 +279,7 @@
         assert second.calls == [("POST", "/elsewhere?x=1", None, DOCUMENT)]
         first.calls.clear()
         first.answers = [(307, f"http://{first.server.address}/Configuration.Read")]
-        with pytest.raises(cli.NoClearAnswerError, match="307"):
+        with pytest.raises(operator_calls.NoClearAnswerError, match="307"):
             await settle(first.server.address, patience_s=0)
         assert len(first.calls) == 3
 
@@ -287,7 +287,7 @@
 @play
 async def test_a_307_to_no_address_is_no_answer(_: Path) -> None:
     async with Registrars((307, "http://elsewhere.example/")) as registrars:
-        with pytest.raises(cli.NoClearAnswerError):
+        with pytest.raises(operator_calls.NoClearAnswerError):
             await settle(registrars.server.address, patience_s=0)
 
 
@@ -321,7 +321,7 @@
 
 def test_a_key_exchanged_for_another_is_a_difference() -> None:
     before, after = ({"Tenants": [{"Name": "t", "ApiKeys": [key]}]} for key in ("a", "b"))
-    (found,) = cli.differences(before, after)
+    (found,) = operator_calls.differences(before, after)
     assert found["key"] == "Tenants[t].ApiKeys" and found["before"] != found["after"]
     assert "a" not in (found["before"], found["after"])
 
