--- a/plumline/coordination/view.py
+++ b/plumline/coordination/view.py
@@ -138,9 +138,7 @@
         found = [each for each in proposal.promises.values() if each is not None]
         proposal.accepting = max(found, key=lambda each: each[0])[1] if found else proposal.view
         for address, _ in self.view.acceptors:
-            self.effects.send(
-                address, ["view-accept", instance, list(ballot), proposal.accepting.to_wire()]
-            )
+            self.effects.send(address, ["view-accept", instance, list(ballot), proposal.accepting.to_wire()])
 
     def on_accepted(self, sender: str, instance: int, ballot: Ballot) -> None:
         proposal = self.proposal
@@ -170,9 +168,7 @@
             return
         self.promised = ballot
         reply = ["view-promise", instance, list(ballot), self.told_accepted()]
-        self.effects.persist(
-            ["promise", instance, list(ballot)], lambda: self.effects.send(sender, reply)
-        )
+        self.effects.persist(["promise", instance, list(ballot)], lambda: self.effects.send(sender, reply))
 
     def told_accepted(self) -> list[Any] | None:
         return [list(self.accepted[0]), self.accepted[1].to_wire()] if self.accepted else None
--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -88,9 +88,7 @@
             changed=self.view_changed,
             known_elsewhere=lambda: self.feed.told_place > 0,
         )
-        self.feed = Feed(
-            self.core.chain, self.topics, self.counters, settings.heartbeat_interval_ms / 1000
-        )
+        self.feed = Feed(self.core.chain, self.topics, self.counters, settings.heartbeat_interval_ms / 1000)
         if settings.data_directory is not None:
             self.writer = DurableWriter(self.file, self.loop, self.image)
             self.persist(["incarnation", incarnation], self.known.set)
@@ -270,9 +268,7 @@
         beat_at = told_at = summary_at = 0.0
         while True:
             now = self.loop.time()
-            self.core.sick = self.writer.broken is not None or (
-                self.writer.oldest_pending(now) > SICK_AFTER
-            )
+            self.core.sick = self.writer.broken is not None or (self.writer.oldest_pending(now) > SICK_AFTER)
             if (changed := self.settings_file.changed(now)) is not None:
                 self.core.set_seeds(changed.seeds)
             self.core.tick(now)
--- a/plumline/registrar/feeding.py
+++ b/plumline/registrar/feeding.py
@@ -133,8 +133,4 @@
 
     def alive(self, now: float) -> dict[str, Work]:
         """The work of each follower that was heard of late, by name."""
-        return {
-            each.node: each.work for each in self.followers.values() if now - each.heard < self.patience
-        }
-
-
+        return {each.node: each.work for each in self.followers.values() if now - each.heard < self.patience}
--- a/plumline/registrar/operators.py
+++ b/plumline/registrar/operators.py
@@ -24,9 +24,7 @@
 
 PATIENCE = 3.0  # s for the head or the tail; callers have moved on long before
 RETRY_AFTER = b"0.3"  # s, told with 503
-BY_CODE = {
-    each.code: each for each in (ConfigurationInvalidError, VersionConflictError, UnavailableError)
-}
+BY_CODE = {each.code: each for each in (ConfigurationInvalidError, VersionConflictError, UnavailableError)}
 INCOMING = {
     (CALLS[name].method, CALLS[name].path): name
     for name in ("configuration_replace", "configuration_amend", "configuration_read", "version_put")
--- a/plumline/router/app.py
+++ b/plumline/router/app.py
@@ -35,9 +35,7 @@
             self.loop.time(),
             fresh_system=settings.first_start,
         )
-        self.dispatcher = Dispatcher(
-            settings, self.fleet, self.counters, self.loop.time, budget=self.budget
-        )
+        self.dispatcher = Dispatcher(settings, self.fleet, self.counters, self.loop.time, budget=self.budget)
         self.dispatcher.tell = self.follower.tell
         self.follower.work = self.dispatcher.work_rates
         self.follower.on_work = self.dispatcher.told_work
--- a/plumline/router/following.py
+++ b/plumline/router/following.py
@@ -64,9 +64,7 @@
         self.work: Callable[[], dict[str, list[Any]]] = dict  # this router's, for heartbeats
         self.on_work: Callable[[dict[str, list[Any]]], None] = lambda work: None  # the fleet's
         self.primary: Source | None = None  # the one over which news come and go
-        self.greeting = hello(
-            settings.node_name, "router", f"{settings.ip_address}:{port}", settings.zone
-        )
+        self.greeting = hello(settings.node_name, "router", f"{settings.ip_address}:{port}", settings.zone)
 
     # Sources.
 
--- a/plumline/router/state.py
+++ b/plumline/router/state.py
@@ -169,8 +169,15 @@
         now = self.clock()
         for event in events:
             match event:
-                case ["placed", int(number), str(endpoint), str(salt), list(told), float(missing),
-                str(saves)]:
+                case [
+                    "placed",
+                    int(number),
+                    str(endpoint),
+                    str(salt),
+                    list(told),
+                    float(missing),
+                    str(saves),
+                ]:
                     parts = [(str(name), int(tokens)) for name, tokens in told]
                     if endpoint in self.fleet.endpoints:
                         placement = Placement(endpoint, salt, parts, missing, saves, now)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -64,9 +64,7 @@
 
 
 @settings(max_examples=60, deadline=None)
-@given(
-    st.integers(0, 2**32), st.integers(1, 12), st.sampled_from([0.2, 0.6, 0.95, 1.0]), st.booleans()
-)
+@given(st.integers(0, 2**32), st.integers(1, 12), st.sampled_from([0.2, 0.6, 0.95, 1.0]), st.booleans())
 def test_no_window_is_overdrawn(seed: int, routers: int, hunger: float, wander: bool) -> None:
     requests, repeats = play(seed, routers, hunger, wander)
     assert worst_overdraft(requests, repeats, WINDOW_S, RATIO, SLACK) <= 1e-9
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -217,9 +217,7 @@
     return body, False
 
 
-async def made(
-    configuration: dict[str, Any] | None, *peers: Peer, budget: Allowing | None = None
-) -> Router:
+async def made(configuration: dict[str, Any] | None, *peers: Peer, budget: Allowing | None = None) -> Router:
     for each in peers:
         await each.start()
     return await Router(configuration, *peers, budget=budget).start()
