Write the store anew as it is opened after appends: a sync may have failed

Cause: after a sync that failed, what was appended stays in the page cache, and counts as written for later syncs. A process that ended then read it at its next start as durable, and a loss of power took it away. Change: a file with appends since its last rewrite is rewritten from what was read; where the disk doesn't let it, it is opened as before.

--- a/plumline/store/records.py
+++ b/plumline/store/records.py
@@ -121,6 +121,14 @@
         try:
             data = self._path.read_bytes()
             values, end = self._replay(data)
+            if end > self._rewritten:
+                # A sync of an earlier life may have failed: then what is read here may be in the page cache
+                # only, and no later sync of this file would write it.
+                with contextlib.suppress(StoreError):
+                    self.rewrite(values)
+                    return values
+                data = self._path.read_bytes()
+                values, end = self._replay(data)
             self.close()
             self._fd = os.open(self._path, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC)
             if end < len(data):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -249,6 +249,62 @@
     assert reopened(tmp_path) == FLAT
 
 
+class PageCache:
+    """What a loss of power leaves of a file whose sync failed: the pages count as written from then on, also
+    for later syncs, and are not on the disk."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.failing = False
+        self.durable: dict[int, bytes] = {}  # by inode; what the last good sync covered
+        self.lost: set[int] = set()  # inodes of which a sync failed
+        for name in ("fdatasync", "fsync"):
+            monkeypatch.setattr(records_module.os, name, self._sync)
+
+    def _sync(self, descriptor: int) -> None:
+        inode = os.fstat(descriptor).st_ino
+        if self.failing:
+            self.lost.add(inode)
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        path = Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+        if path.is_file() and inode not in self.lost:
+            self.durable[inode] = path.read_bytes()
+
+    def lose_power(self, path: Path) -> None:
+        path.write_bytes(self.durable[path.stat().st_ino])
+
+
+def test_what_is_read_after_a_failed_sync_outlasts_a_loss_of_power(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    cache = PageCache(monkeypatch)
+    file = RecordFile(tmp_path)
+    file.open()
+    file.append(["kept"])
+    cache.failing = True
+    with pytest.raises(StoreError):
+        file.append(["in the page cache only"])
+    file.close()
+    cache.failing = False
+    told = reopened(tmp_path)
+    assert told[0] == "kept"
+    cache.lose_power(tmp_path / "state.log")
+    assert reopened(tmp_path) == told
+
+
+@pytest.mark.parametrize("call", ["write", "rename"])
+def test_a_file_that_can_not_be_rewritten_as_it_is_opened_is_read_as_it_is(
+    tmp_path: Path, disk: Disk, call: str
+) -> None:
+    written(tmp_path)
+    disk.fail[call] = errno.ENOSPC
+    file = RecordFile(tmp_path)
+    assert file.open() == FLAT
+    disk.fail.clear()
+    file.append(["more"])
+    file.close()
+    assert reopened(tmp_path) == [*FLAT, "more"]
+
+
 def test_a_batch_is_one_write_and_one_sync(tmp_path: Path, disk: Disk) -> None:
     file = RecordFile(tmp_path)
     file.open()
