List the system packages of a clean build; check them against the build line

Cause: nothing said which Debian packages a clean build needs, and operators' machines have nothing that isn't listed.

'plumline check deploy' requires the key and holds it against the programs that the build line calls, by a declared table.

--- a/plumline/cli.py
+++ b/plumline/cli.py
@@ -106,10 +106,10 @@
 @FILE
 @AS_JSON
 def check_deploy(path: str, as_json: bool) -> None:
-    """The system's deploy file (TOML): its build, its roles and where they run."""
-    from plumline import checks
+    """The system's deploy file (TOML): its build, its system packages, its roles and where they run."""
+    from plumline import checks, deploy_file
 
-    report_faults(checks.deploy_faults(checks.read_file(path)), as_json)
+    report_faults(deploy_file.deploy_faults(checks.read_file(path)), as_json)
 
 
 def report_faults(faults: list[str], as_json: bool) -> None:
--- /dev/null
+++ b/plumline/deploy_file.py
@@ -0,0 +1,157 @@
+"""Checks of the deploy file: its keys, the packages that its build needs, and its roles."""
+
+import re
+import shlex
+import tomllib
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from plumline.configuration import FLAG, NAME, TABLE, Rule, Shape, every, fault, whole
+
+MACHINE_CLASSES = ("edge", "core")
+CALLERS = ("edge", "control_plane")
+ROLES_ON_A_MACHINE = 2
+
+# The Debian packages that bring each program which a build may call. `python3 -m pip` fetches over HTTPS.
+PROGRAM_PACKAGES: Mapping[str, tuple[str, ...]] = {
+    "python3": ("python3",),
+    "python3 -m pip": ("python3", "python3-pip", "ca-certificates"),
+}
+# Part of the shell itself; the shell is in Debian's essential set, which every machine has.
+SHELL_WORDS = frozenset(
+    "[ : ! cd do done echo elif else exit export fi for if set test then true false while".split()
+)
+REDIRECTIONS = "<>"
+SEPARATORS = "();|&\n" + REDIRECTIONS
+
+PACKAGE_NAME = Rule(
+    "the name of a Debian package",
+    lambda value: isinstance(value, str) and re.fullmatch(r"[a-z0-9][a-z0-9+.-]+", value) is not None,
+)
+DEPLOY_FILE = Shape({"build": NAME, "packages": every(PACKAGE_NAME), "roles": TABLE}, {})
+ROLE = Shape(
+    {
+        "run": Rule(
+            "a program and its arguments", lambda value: isinstance(value, str) and bool(value.split())
+        ),
+        "on": Rule("'edge' or 'core'", lambda value: value in MACHINE_CLASSES),
+    },
+    {
+        "share": Rule(
+            "a number above 0, at most 1", lambda value: type(value) in (int, float) and 0 < value <= 1
+        ),
+        "count": whole(1),
+        "apart": FLAG,
+        "serves": every(Rule("'edge' or 'control_plane'", lambda value: value in CALLERS)),
+    },
+)
+
+Role = dict[str, Any]
+
+
+def deploy_faults(raw: bytes) -> list[str]:
+    """Every fault of a deploy file: its keys, its packages, then what no class of machines can bear."""
+    try:
+        deploy = tomllib.loads(raw.decode("utf-8"))
+    except ValueError as error:
+        return [f"the file can't be read as TOML: {error}"]
+    faults = DEPLOY_FILE.faults(deploy)
+    if not faults:
+        faults += package_faults(deploy["build"], deploy["packages"])
+    roles = deploy.get("roles")
+    sound: dict[str, Role] = {}
+    for name, role in roles.items() if isinstance(roles, dict) else ():
+        found = role_faults(f"roles.{name}", role)
+        if not found:
+            sound[name] = role
+        faults += found
+    for machine_class in MACHINE_CLASSES:
+        here = {name: role for name, role in sound.items() if role["on"] == machine_class}
+        faults += class_faults(machine_class, here)
+    return faults
+
+
+def package_faults(build: str, packages: list[str]) -> list[str]:
+    """A fault for each program of the build line that no listed package brings, and for each repetition."""
+    faults = []
+    if len(set(packages)) < len(packages):
+        faults.append(fault("packages", packages, "a list that names each package once"))
+    try:
+        programs = dict.fromkeys(programs_called(build))
+    except ValueError as error:
+        return [*faults, fault("build", build, f"a line that a shell can read ({error})")]
+    for program in programs:
+        if program not in PROGRAM_PACKAGES:
+            known = ", ".join(PROGRAM_PACKAGES)
+            faults.append(fault("build", program, f"a program whose package is declared: {known}"))
+            continue
+        for package in PROGRAM_PACKAGES[program]:
+            if package not in packages:
+                faults.append(
+                    fault("packages", packages, f"a list with {package!r}, for {program!r} of build")
+                )
+    return faults
+
+
+def programs_called(build: str) -> Iterator[str]:
+    """The programs that the shell text calls; a Python module with its interpreter, as `python3 -m pip`.
+
+    What stands inside quotation marks is not searched. ValueError: a quotation that is not closed.
+    """
+    words = shlex.shlex(build, posix=True, punctuation_chars=SEPARATORS)
+    words.whitespace = " \t\r"
+    words.whitespace_split = True
+    command: list[str] = []
+    is_target = False  # the word after a redirection names a file
+    for word in [*words, ";"]:
+        if set(word) <= set(SEPARATORS):
+            is_target = bool(set(word) & set(REDIRECTIONS))
+            if not is_target:
+                yield from program_of(command)
+                command = []
+        elif is_target:
+            is_target = False
+        else:
+            command.append(word)
+
+
+def program_of(command: list[str]) -> Iterator[str]:
+    """The program that one command calls; none for the shell's own words and assignments."""
+    while command and (re.match(r"\w+=", command[0]) or command[0] in ("if", "then", "else", "do", "!")):
+        command = command[1:]
+    if not command or command[0] in SHELL_WORDS:
+        return
+    if command[0] == "python3" and command[1:2] == ["-m"] and len(command) > 2:
+        yield " ".join(command[:3])
+    else:
+        yield command[0]
+
+
+def role_faults(key: str, role: object) -> list[str]:
+    """The faults of one role's table, which stands under the key."""
+    if not isinstance(role, dict):
+        return [fault(key, role, TABLE.allowed)]
+    faults = ROLE.faults(role, key)
+    if not faults and ("share" in role) == ("count" in role):
+        faults.append(fault(f"{key}.share", role.get("share"), "one of share and count"))
+    return faults
+
+
+def class_faults(machine_class: str, roles: dict[str, Role]) -> list[str]:
+    """What the roles on one class of machines ask of it together that no machine can bear."""
+    key = f"roles on {machine_class}"
+    faults = []
+    for caller in CALLERS:
+        serving = [name for name, role in roles.items() if caller in role.get("serves", ())]
+        if len(serving) > 1:
+            faults.append(fault(key, serving, f"one role that serves {caller!r}"))
+    for apart in (False, True):  # the first and the last machine of a zone
+        crowd = [
+            name
+            for name, role in roles.items()
+            if role.get("apart", False) is apart or role.get("share") == 1
+        ]
+        if len(crowd) > ROLES_ON_A_MACHINE:
+            faults.append(fault(key, crowd, "up to two roles on a machine"))
+            break
+    return faults
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,6 +16,7 @@
 
 DEPLOY = """
 build = "true"
+packages = []
 [roles.router]
 run = "python3 -m plumline router"
 on = "edge"
@@ -101,8 +102,8 @@
     [
         (DEPLOY, []),
         ("x = ", [None]),
-        ("", ["build", "roles"]),
-        ('build = ""\n[roles]\nrouter = 1\n', ["build", "roles.router"]),
+        ("", ["build", "packages", "roles"]),
+        ('build = ""\npackages = []\n[roles]\nrouter = 1\n', ["build", "roles.router"]),
         (DEPLOY.replace('"edge"\nshare', '"shore"\nshare'), ["roles.router.on"]),
         (DEPLOY.replace('"python3 -m plumline router"', '" "'), ["roles.router.run"]),
         (DEPLOY.replace("1.0", "0"), ["roles.router.share"]),
