--- a/plumline/configuration/state.py
+++ b/plumline/configuration/state.py
@@ -6,14 +6,13 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
-from itertools import islice
 from typing import Any
 
 from plumline.configuration import NAME, fault, whole
 from plumline.configuration.document import Document, amended, conflict, digest, merged, replaced
-from plumline.errors import ConfigurationInvalidError, PlumlineError
+from plumline.configuration.history import History, HistoryInvalidError, Match
+from plumline.errors import ConfigurationInvalidError, PlumlineError, UnavailableError
 
-REMEMBERED = 512  # changes whose exact repeat is known
 Change = Sequence[Any]
 WEIGHTS_VERSION = whole(1)
 
@@ -31,7 +30,7 @@
     configuration: Document | None = None
     versions: dict[str, int] = field(default_factory=dict)  # model -> newest named version of its weights
     wall: int = 0  # generation of the pool of kept parts that tenants share
-    taken: dict[str, int] = field(default_factory=dict)  # digest of a change -> its Version, oldest first
+    history: History = field(default_factory=History)  # the changes that led here, for their repeats
     departed: frozenset[str] = frozenset()  # tenants no longer listed whose parts lie in the shared pool
 
     @property
@@ -42,23 +41,38 @@
     def check(self, change: Change) -> bool:
         """True if exactly this change was taken already (it has no effect), False if it can be applied.
 
-        Otherwise ConfigurationInvalidError or VersionConflictError.
+        Otherwise ConfigurationInvalidError or VersionConflictError: no later state will take the change.
+        UnavailableError where that can't be said: it builds on a version that has been forgotten, or on one
+        that is not in place yet.
         """
         match list(change):
             case ["weights", dict(named)]:
                 return self._check_weights(named)
             case ["replace", based_on, dict(body)]:
-                if digest("replace", based_on, body) in self.taken:
+                if self._was_taken("replace", based_on, body):
                     return True
                 replaced(self.configuration, based_on, body)
                 return False
             case ["amend", based_on, dict(body)]:
-                if digest("amend", based_on, body) in self.taken:
+                if self._was_taken("amend", based_on, body):
                     return True
                 amended(self.configuration, based_on, body)
                 return False
         raise ConfigurationInvalidError("the change: not allowed; allowed: replace, amend or weights")
 
+    def _was_taken(self, kind: str, based_on: Any, body: Document) -> bool:  # noqa: ANN401
+        """Whether this very change was taken; UnavailableError where nobody can say."""
+        if type(based_on) is not int:
+            return False
+        if based_on > self.version:
+            raise UnavailableError(f"version {based_on} is not in place yet; {self.version} is")
+        if based_on == self.version:
+            return False
+        found = self.history.match(based_on, digest(kind, based_on, body))
+        if found is Match.FORGOTTEN:
+            raise UnavailableError(f"what was taken on top of version {based_on} is not remembered")
+        return found is Match.TAKEN
+
     def apply(self, change: Change) -> "State":
         """The state after a change for which `check` gave False on this very state; the same one on a repeat.
 
@@ -73,18 +87,17 @@
             return replace(self, versions={**self.versions, model: version})
         _, based_on, body = change
         mark = digest(kind, based_on, body)
-        if mark in self.taken:
+        if self.history.match(based_on, mark) is Match.TAKEN:
             return self
         conflict(self.configuration, based_on)
         new = merged(self.configuration, body) if kind == "amend" and self.configuration else body
-        taken = dict(islice(self.taken.items(), max(0, len(self.taken) - REMEMBERED + 1), None))
-        taken[mark] = new["Version"]
+        history = self.history.with_change(based_on, mark)
         pooled = self.departed | tenants(self.configuration, isolated=False)
         if pooled & tenants(new, isolated=True):
             wall, departed = self.wall + 1, frozenset[str]()
         else:
             wall, departed = self.wall, pooled - tenants(new, isolated=False)
-        return replace(self, configuration=new, wall=wall, taken=taken, departed=departed)
+        return replace(self, configuration=new, wall=wall, history=history, departed=departed)
 
     def _check_weights(self, named: Document) -> bool:
         model, version = named.get("Model"), named.get("Version")
@@ -99,29 +112,44 @@
             raise ConfigurationInvalidError(fault("Model", model, "a model that the configuration names"))
         return False
 
-    def to_wire(self) -> dict[str, Any]:
-        """Plain dicts and lists for a frame; they share the state's own and must not be changed."""
+    def to_wire(self, history: bool = True) -> dict[str, Any]:
+        """Plain dicts and lists for a frame; they share the state's own and must not be changed.
+
+        Without `history` for who only follows: it never has to tell a repeat.
+        """
         return {
             "configuration": self.configuration,
             "versions": self.versions,
             "wall": self.wall,
-            "taken": self.taken,
+            "history": (self.history if history else History(horizon=self.version)).to_wire(),
             "departed": sorted(self.departed),
         }
 
     @classmethod
     def from_wire(cls, wire: Any) -> "State":  # noqa: ANN401
-        """The state that `to_wire` gave; StateInvalidError if it is none."""
+        """The state that `to_wire` gave, now or in an earlier release; StateInvalidError if it is none."""
         match wire:
             case {
                 "configuration": dict() | None as configuration,
                 "versions": dict(versions),
                 "wall": int(wall),
-                "taken": dict(taken),
                 "departed": list(departed),
             }:
-                return cls(configuration, versions, wall, taken, frozenset(departed))
-        raise StateInvalidError("not a state: configuration, versions, wall, taken and departed are needed")
+                history = cls._history_from_wire(wire)
+                return cls(configuration, versions, wall, history, frozenset(departed))
+        raise StateInvalidError("not a state: configuration, versions, wall, history and departed are needed")
+
+    @staticmethod
+    def _history_from_wire(wire: dict[str, Any]) -> History:
+        match wire:
+            case {"taken": dict(taken)}:
+                return History.from_versions(taken)
+            case {"history": list(history)}:
+                try:
+                    return History.from_wire(history)
+                except HistoryInvalidError as error:
+                    raise StateInvalidError(error.text) from error
+        raise StateInvalidError("a state without its history")
 
 
 def tenants(document: Document | None, isolated: bool) -> frozenset[str]:
--- a/plumline/registrar/feeding.py
+++ b/plumline/registrar/feeding.py
@@ -78,7 +78,7 @@
         if follower.place < 0 or follower.place >= chain.committed:
             return
         if not chain.log or chain.log[0][0] > follower.place + 1:
-            follower.link.send(["state", chain.committed, chain.state.to_wire()])
+            follower.link.send(["state", chain.committed, chain.state.to_wire(history=False)])
         else:
             for number, change in chain.log:
                 if follower.place < number <= chain.committed:
