Answer operators within their second, and at once where no majority is in touch

Cause: a registrar waited 3 s for the head or the tail, while callers leave after 1 s of silence; cut off, it kept each of them waiting, and a cut-off head took changes in that could never be told of. Change: registrar/relay.py, pure, holds the questions between registrars: 0.75 s of patience and a second more per MB of body, 503 at once without a majority in touch or where the head or tail is silent, also while a question is out; a head without a majority takes no change in. Operators keeps HTTP alone. A read where there is no configuration gets 503, as the table of calls says, not 404.

--- a/plumline/coordination/core.py
+++ b/plumline/coordination/core.py
@@ -146,7 +146,7 @@
     def fresh(self, now: float) -> bool:
         """Whether what this registrar has is the newest, as far as a majority in touch shows."""
         view = self.views.view
-        if view is None or self.chain.position is None or not self.contacts.in_touch(now, view.acceptors):
+        if view is None or self.chain.position is None or not self.has_majority(now):
             return False
         newer = any(
             peer.view > view.number and now - peer.echoed < SUSPECT_AFTER
@@ -154,6 +154,11 @@
         )
         return self.chain.caught_up and not newer
 
+    def has_majority(self, now: float) -> bool:
+        """Whether a majority of the acceptors answered this registrar lately."""
+        view = self.views.view
+        return view is not None and self.contacts.in_touch(now, view.acceptors)
+
     def head(self) -> str | None:
         view = self.views.view
         return view.chain[0][0] if view and view.chain else None
--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -151,7 +151,9 @@
     def receive(self, sender: str, message: Message) -> None:
         now = self.loop.time()
         try:
-            if self.core.on_message(now, sender, message) or self.operators.on_message(sender, message):
+            if self.core.on_message(now, sender, message):
+                return
+            if self.operators.relay.on_message(now, sender, message):
                 return
             match message:
                 case ["topic", str(name), [int(term), int(count)], payload]:
@@ -272,6 +274,7 @@
             if (changed := self.settings_file.changed(now)) is not None:
                 self.core.set_seeds(changed.seeds)
             self.core.tick(now)
+            self.operators.relay.tick(now)
             self.note_leases(now)
             if now >= beat_at:
                 beat_at = now + BEAT
--- a/plumline/registrar/operators.py
+++ b/plumline/registrar/operators.py
@@ -1,30 +1,20 @@
-"""The operators' interface: the same answer from any registrar, whoever is head or tail of the chain.
-
-A change goes to the head, a read to the tail; each answers over frames with the code of a typed error, or
-none.
-"""
+"""The operators' HTTP interface: the same answer from any registrar, whoever is head or tail of the chain."""
 
 import asyncio
 import json
-import secrets
 from collections.abc import Callable
 from typing import Any
 
-from plumline.configuration.document import parse
+from plumline.configuration.document import Document, parse
 from plumline.coordination.core import Core
 from plumline.counters import Counters
-from plumline.errors import (
-    ConfigurationInvalidError,
-    PlumlineError,
-    UnavailableError,
-    VersionConflictError,
-)
+from plumline.errors import ConfigurationInvalidError, PlumlineError, UnavailableError
+from plumline.registrar.relay import Change, Outcome, Relay
 from plumline.wire.calls import BASED_ON_VERSION, CALLS
 from plumline.wire.exchange import Exchange
 
-PATIENCE = 3.0  # s for the head or the tail; callers have moved on long before
 RETRY_AFTER = b"0.3"  # s, told with 503
-BY_CODE = {each.code: each for each in (ConfigurationInvalidError, VersionConflictError, UnavailableError)}
+LONGEST_VERSION = 18  # digits
 INCOMING = {
     (CALLS[name].method, CALLS[name].path): name
     for name in ("configuration_replace", "configuration_amend", "configuration_read", "version_put")
@@ -32,20 +22,20 @@
 
 
 class NotFoundError(PlumlineError):
-    """No such call, or nothing to read yet."""
+    """No such call."""
 
     code, status = "not-found", 404
 
 
 class Operators:
+    """Reads requests, hands them to the relay and writes its answers."""
+
     def __init__(self, core: Core, send: Callable[[str, list[Any]], None], counters: Counters) -> None:
-        self.core, self.send, self.counters = core, send, counters
+        self.counters = counters
+        self.relay = Relay(core, send)
         self.loop = asyncio.get_running_loop()
-        self.asked: dict[str, asyncio.Future[Any]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
-    # Requests.
-
     def handle(self, exchange: Exchange) -> None:
         task = self.loop.create_task(self.serve(exchange))
         self.tasks.add(task)
@@ -75,72 +65,45 @@
         if not exchange.gone:
             exchange.respond(status, headers, body)
 
-    async def answer(self, name: str, exchange: Exchange) -> Any:  # noqa: ANN401
+    async def answer(self, name: str, exchange: Exchange) -> Document:
+        """The document of a 200; raises the typed error of any other answer."""
         if name == "configuration_read":
-            document = await self.ask(self.core.tail(), ["read"])
-            if document is None:
-                raise NotFoundError("there is no configuration yet")
-            return document
+            return await self.read()
         body = parse(exchange.body)
         if name == "version_put":
-            return await self.ask(self.core.head(), ["submit", ["weights", body]])
-        based_on = self.based_on(exchange)
-        kind = "replace" if name == "configuration_replace" else "amend"
-        return await self.ask(self.core.head(), ["submit", [kind, based_on, body]])
+            change: Change = ["weights", body]
+        else:
+            kind = "replace" if name == "configuration_replace" else "amend"
+            change = [kind, self.based_on(exchange), body]
+        now, size = self.loop.time(), len(exchange.body)
+        return await self.result(lambda outcome: self.relay.submit(now, change, size, outcome))
+
+    async def read(self) -> Document:
+        now = self.loop.time()
+        document = await self.result(lambda outcome: self.relay.read(now, outcome))
+        if document is None:
+            raise UnavailableError("there is no configuration yet")
+        return document
+
+    async def result(self, ask: Callable[[Outcome], None]) -> Any:  # noqa: ANN401
+        """What `ask` brings, by its outcome: the result, or its error raised."""
+        future: asyncio.Future[Any] = self.loop.create_future()
+
+        def outcome(error: PlumlineError | None, result: Any) -> None:  # noqa: ANN401
+            if future.done():  # the request was given up meanwhile
+                return
+            if error is not None:
+                future.set_exception(error)
+            else:
+                future.set_result(result)
+
+        ask(outcome)
+        return await future
 
     @staticmethod
     def based_on(exchange: Exchange) -> int:
         wanted = BASED_ON_VERSION.lower().encode()
         found = [value for key, value in exchange.headers if key == wanted]
-        if len(found) != 1 or not found[0].isdigit() or len(found[0]) > 18:
+        if len(found) != 1 or not found[0].isdigit() or len(found[0]) > LONGEST_VERSION:
             raise ConfigurationInvalidError(f"{BASED_ON_VERSION}: one whole number is needed")
         return int(found[0])
-
-    # Between registrars.
-
-    async def ask(self, who: str | None, question: list[Any]) -> Any:  # noqa: ANN401
-        """Raises the typed error that `who` answers, UnavailableError where nobody does."""
-        if who is None:
-            raise UnavailableError("no view of the core is known yet")
-        key = secrets.token_hex(6)
-        future = self.asked[key] = self.loop.create_future()
-        self.send(who, ["ask", key, question])
-        try:
-            async with asyncio.timeout(PATIENCE):
-                code, text, result = await future
-        except TimeoutError:
-            raise UnavailableError("no answer within the core; whether it was taken is not known") from None
-        finally:
-            del self.asked[key]
-        if code is None:
-            return result
-        raise BY_CODE.get(code, UnavailableError)(text)
-
-    def on_message(self, sender: str, message: list[Any]) -> bool:
-        match message:
-            case ["ask", str(key), ["submit", list(change)]]:
-
-                def submitted(error: PlumlineError | None) -> None:
-                    self.tell(sender, key, error, {"taken": True})
-
-                self.core.chain.submit(change, submitted)
-            case ["ask", str(key), ["read"]]:
-
-                def found(state: Any) -> None:  # noqa: ANN401
-                    error = UnavailableError("not a tail that may answer") if state is None else None
-                    self.tell(sender, key, error, state.configuration if state else None)
-
-                self.core.chain.read(found)
-            case ["answer", str(key), code, str(text), result]:
-                future = self.asked.get(key)
-                if future is not None and not future.done():
-                    future.set_result((code, text, result))
-            case _:
-                return False
-        return True
-
-    def tell(self, to: str, key: str, error: PlumlineError | None, result: Any) -> None:  # noqa: ANN401
-        if error is None:
-            self.send(to, ["answer", key, None, "", result])
-        else:
-            self.send(to, ["answer", key, error.code, error.text, None])
--- /dev/null
+++ b/tests/test_control_explorer.py
@@ -0,0 +1,162 @@
+"""Random schedules of operators over cut, restarted and frozen registrars, and for each guard that is taken
+out a schedule that shows it.
+
+The default count runs in less than a minute on one core; PLUMLINE_SCHEDULES multiplies it.
+"""
+
+import os
+from collections.abc import Callable, Iterator
+from contextlib import nullcontext
+from typing import Any
+from unittest.mock import patch
+
+import pytest
+
+from plumline.configuration.history import History, Match
+from plumline.configuration.state import State
+from plumline.coordination.chain import Answer, Chain
+from plumline.coordination.core import Core
+from plumline.errors import PlumlineError, UnavailableError, VersionConflictError
+from plumline.registrar import relay as relay_module
+from tests.control_world import ControlWorld, explore_control, short_memory
+from tests.core_world import ViolationError
+
+TIMES = float(os.environ.get("PLUMLINE_SCHEDULES", "1"))
+FEW = 8  # repeats remembered, so that many are forgotten
+
+SCHEDULES = [
+    pytest.param(110, {"cuts": True, "seconds": 22.0}, id="cuts-3"),
+    pytest.param(20, {"cuts": True, "seconds": 22.0, "size": 5, "copies": 3}, id="cuts-5"),
+    pytest.param(120, {}, id="troubles-3"),
+    pytest.param(25, {"size": 5, "copies": 3}, id="troubles-5"),
+    pytest.param(60, {"remembered": FEW}, id="troubles-3-few-remembered"),
+]
+
+
+@pytest.mark.parametrize(("schedules", "how"), SCHEDULES)
+def test_operators_see_nothing_wrong(schedules: int, how: dict[str, Any]) -> None:
+    count = max(1, int(schedules * TIMES))
+    counts = explore_control(range(count), **how)
+    print(how, dict(counts))
+    assert counts["schedules"] == count
+    assert counts["acknowledged"] > 2 * count  # else it explored nothing
+    assert counts["version-conflict"] > 2 * count
+    assert counts["repeats"] > 2 * count
+    assert counts["reads"] > count
+
+
+def test_who_is_cut_off_answers_at_once_that_another_should_be_asked() -> None:
+    """Head, middle and tail, in both directions and in either one; after it was found out, and before."""
+    with short_memory():
+        for place in range(3):
+            for how in ("both", "in", "out"):
+                world = ControlWorld(1, quiet=True)
+                world.settle()
+                world.put_first()
+                node = world.nodes[world.chain()[place]]
+                world.cut_off(node, how)
+                for at, within in ((0.0, 0.9), (1.0, 0.06), (20.0, 0.06)):
+                    world.go(at)
+                    for call in (world.read_now, world.change_now):
+                        found, took = call(node)
+                        assert isinstance(found, UnavailableError), (place, how, at, found)
+                        assert took <= within, (place, how, at, took)
+                        world.go(0.0)
+
+
+# Guards taken out.
+
+
+class RefusesAtOnce(Chain):
+    """Does not wait until what a refusal rests on is committed."""
+
+    def submit(self, change: list[Any], answer: Answer) -> None:
+        if self.is_head() and self.can_commit():
+            try:
+                self.newest.check(change)
+            except PlumlineError as error:
+                answer(error)
+                return
+        super().submit(change, answer)
+
+
+class ReadsWithoutAsking(Chain):
+    def read(self, answer: Callable[[Any], None]) -> None:
+        answer(self.state if self.is_tail() and self.caught_up else None)
+
+
+class AcknowledgesBeforeCommit(Chain):
+    def submit(self, change: list[Any], answer: Answer) -> None:
+        super().submit(change, lambda error: None)
+        if self.is_head() and self.can_commit() and self.newest is not self.state:
+            answer(None)
+
+
+class AcknowledgesAnUncommittedRepeat(Chain):
+    def submit(self, change: list[Any], answer: Answer) -> None:
+        try:
+            known = self.is_head() and self.can_commit() and self.newest.check(change)
+        except PlumlineError:
+            known = False
+        if known:
+            answer(None)
+        else:
+            super().submit(change, answer)
+
+
+def exchange(kind: type) -> dict[str, Any]:
+    def mutate(core: Core) -> None:
+        core.chain.__class__ = kind
+
+    return {"mutate": mutate}
+
+
+def refuses_what_may_come(state: State, kind: str, based_on: Any, body: Any) -> bool:  # noqa: ANN401
+    if based_on > state.version:
+        raise VersionConflictError("not in place")
+    return WAS_TAKEN(state, kind, based_on, body)
+
+
+def refuses_what_it_forgot(state: State, kind: str, based_on: Any, body: Any) -> bool:  # noqa: ANN401
+    try:
+        return WAS_TAKEN(state, kind, based_on, body)
+    except UnavailableError as error:
+        if "remembered" in error.text:
+            raise VersionConflictError("not remembered") from error
+        raise
+
+
+def knows_no_repeat(history: History, base: int, digest: str) -> Match:
+    return Match.OTHER
+
+
+def knows_no_content(history: History, base: int, digest: str) -> Match:
+    found = MATCH(history, base, digest)
+    return Match.TAKEN if base < history.horizon or any(base in each for each in history.full) else found
+
+
+WAS_TAKEN, MATCH = State._was_taken, History.match
+
+
+def guards() -> Iterator[Any]:
+    for kind in (
+        RefusesAtOnce,
+        ReadsWithoutAsking,
+        AcknowledgesBeforeCommit,
+        AcknowledgesAnUncommittedRepeat,
+    ):
+        yield pytest.param(exchange(kind), nullcontext(), id=kind.__name__)
+    yield pytest.param({}, patch.object(State, "_was_taken", refuses_what_may_come), id="RefusesWhatMayCome")
+    few = {"remembered": FEW}
+    forgot = patch.object(State, "_was_taken", refuses_what_it_forgot)
+    yield pytest.param(few, forgot, id="RefusesWhatItForgot")
+    yield pytest.param({}, patch.object(History, "match", knows_no_repeat), id="KnowsNoRepeat")
+    yield pytest.param(few, patch.object(History, "match", knows_no_content), id="TakesAnyBodyForTheRepeat")
+    yield pytest.param({}, patch.object(relay_module, "PATIENCE_S", 3.0), id="WaitsLongerThanItsCallers")
+
+
+@pytest.mark.parametrize(("how", "without"), list(guards()))
+def test_a_schedule_shows_what_each_guard_is_for(how: dict[str, Any], without: Any) -> None:  # noqa: ANN401
+    with without, pytest.raises(ViolationError) as caught:
+        explore_control(range(2000), **how)
+    print(caught.value)
