Reset the connection of a call that was given up, so that it can't arrive later

Cause: an order that timed out, or whose lease was lost, was closed plainly; its bytes, held up by a cut, still arrived as the cut healed, under an old fence. Change: Caller resets after a failed or cancelled call of which anything may have gone out, and sets TCP_USER_TIMEOUT to the call's time, for a process that stands still meanwhile. Shown by test_a_call_that_was_given_up_can_not_arrive_later and test_the_system_ends_a_call_whose_process_stands_still; both fail without it.

--- a/plumline/wire/calls.py
+++ b/plumline/wire/calls.py
@@ -187,6 +187,8 @@
 
         `prepare`, if given, is run when the connection is up, with nothing awaited between it and the first
         byte: it returns the body, or raises CallWithdrawnError. Raises CallFailedError, CallTimeoutError.
+
+        Once a call has failed or was cancelled, no byte of it can arrive any more: its connection is reset.
         """
         row = CALLS[name]
         target = (path or row.path) + (f"?{query}" if query else "")
@@ -195,6 +197,7 @@
         try:
             async with asyncio.timeout(timeout_s) as whole:
                 connection = self._reused(address) or await self._opened(address, min(connect_s, timeout_s))
+                connection.give_up_after(timeout_s)
                 if prepare:
                     body = prepare()
                 data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
@@ -210,11 +213,14 @@
         except BROKEN as error:
             raise CallFailedError(f"{name}: {error or type(error).__name__}", sent=sent) from error
         else:
-            if self._keep(connection, answer):
-                connection = None
+            if not self._keep(connection, answer):
+                connection.close()
+            connection = None
             return answer
         finally:
-            if connection:
+            if connection and sent:
+                connection.reset()
+            elif connection:
                 connection.close()
 
     async def _opened(self, address: Address, connect_s: float) -> Connection:
--- a/plumline/wire/http.py
+++ b/plumline/wire/http.py
@@ -3,6 +3,7 @@
 import asyncio
 import re
 import socket
+import struct
 from collections.abc import Iterable
 
 import h11
@@ -16,6 +17,7 @@
 MOST_INTERIM = 16  # 1xx answers that may come ahead of one answer
 FIRST_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 BEGINNING = b"HTTP/1."
+NO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset, and drops what is unsent
 SOME_REQUEST = [("Host", "x"), ("Content-Length", "0")]
 DECIMAL = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?", re.ASCII)
 
@@ -233,6 +235,16 @@
     def close(self) -> None:
         self.sock.close()
 
+    def reset(self) -> None:
+        """Closes with a reset: bytes that a cut of the network still holds up can't arrive any more."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.sock.close()
+
+    def give_up_after(self, seconds: float) -> None:
+        """The system itself resets the connection if bytes stay unacknowledged for so long, also while this
+        process stands still."""
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(seconds * 1000))
+
     def let_go(self) -> None:
         """It is another process's now, which holds a descriptor of its own: this one goes at once, or the
         connection would outlast the other's closing of it."""
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -187,6 +188,48 @@
     play(scene, silent)
 
 
+@pytest.mark.parametrize("cancelled", [False, True])
+def test_a_call_that_was_given_up_can_not_arrive_later(cancelled: bool) -> None:
+    """A plain close would leave bytes that a cut holds up on their way, and an order under an old fence
+    would arrive as the cut heals."""
+    ends: list[type[BaseException] | None] = []
+    arrived = asyncio.Event()
+
+    async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await request_from(reader)
+        arrived.set()
+        try:
+            await reader.read()
+            ends.append(None)
+        except ConnectionResetError as error:
+            ends.append(type(error))
+        writer.close()
+
+    async def scene(caller: Caller, address: Address) -> None:
+        call = asyncio.ensure_future(
+            caller.call("order", address, body={}, timeout_s=5 if cancelled else 0.1)
+        )
+        await arrived.wait()
+        if cancelled:
+            call.cancel()
+        with pytest.raises((CallTimeoutError, asyncio.CancelledError)):
+            await call
+        while not ends:
+            await asyncio.sleep(0)
+        assert ends == [ConnectionResetError]
+
+    play(scene, silent)
+
+
+def test_the_system_ends_a_call_whose_process_stands_still() -> None:
+    async def scene(caller: Caller, address: Address) -> None:
+        await caller.call("report", address, timeout_s=1.5)
+        sock = caller.idle[address].connection.sock
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 1500
+
+    play(scene, Peer(answer(200, {})).serve)
+
+
 @pytest.mark.parametrize(
     "noise", [b"", b"nonsense\r\n\r\n", b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nshort"]
 )
