Let a holder whose term is over tell no soft topic under the later term's number

Cause: a holder that had heard a topic of a later term numbered its own news after it, within that term, and so replaced the new holder's news by older ones. Change: next_number gives none then, and nothing is told. Shown by tests/test_topics.py, which fails without it.

--- a/plumline/coordination/topics.py
+++ b/plumline/coordination/topics.py
@@ -31,11 +31,15 @@
         """None if nothing was told."""
         return self.told[name].payload if name in self.told else None
 
-    def next_number(self, name: str, term: int) -> Number:
+    def next_number(self, name: str, term: int) -> Number | None:
+        """The number under which the holder of the lease of this term tells the topic next. None if somebody
+        has told it under a later term: this one is over, whatever its holder's clock says."""
         known = self.told.get(name)
         if known is None or known.number[0] < term:
             return term, 1
-        return known.number[0], known.number[1] + 1
+        if known.number[0] > term:
+            return None
+        return term, known.number[1] + 1
 
     def messages(self) -> list[list[Any]]:
         return [["topic", name, list(each.number), each.payload] for name, each in self.told.items()]
--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -206,6 +206,9 @@
 
     def tell_topic(self, name: str, term: int, payload: Any) -> None:  # noqa: ANN401
         number = self.topics.next_number(name, term)
+        if number is None:
+            self.counters.add("topics.term-over")
+            return
         self.topics.offer(name, number, payload)
         self.feed.tell_topic(name)
         self.mesh.send_all(["topic", name, list(number), payload])
--- /dev/null
+++ b/tests/test_topics.py
@@ -0,0 +1,21 @@
+"""Soft topics between two holders of a lease whose terms overlap."""
+
+from plumline.coordination.topics import Topics
+
+
+def test_a_holder_whose_term_is_over_tells_nothing_more() -> None:
+    earlier, later = Topics(), Topics()
+    number = later.next_number("marks", 2)
+    assert number == (2, 1) and later.offer("marks", number, "new")
+    assert earlier.next_number("marks", 1) == (1, 1)  # it has not heard of the later one yet
+    assert earlier.offer("marks", number, "new")
+    assert earlier.next_number("marks", 1) is None
+    assert earlier.payload("marks") == "new"
+
+
+def test_what_an_earlier_holder_tells_late_is_not_taken() -> None:
+    topics = Topics()
+    assert topics.offer("roster", (2, 1), "new")
+    assert not topics.offer("roster", (1, 40), "old")
+    assert not topics.offer("roster", (2, 1), "again")
+    assert topics.messages() == [["topic", "roster", [2, 1], "new"]]
