Believe an answer without an id on a new connection only, and no 408 for another endpoint

Cause: a 421 without Attempt-Id was taken as the proof that a request has not run, also on a connection on which another answer had come before: as a late answer to that one it let a request that may run once run twice, and promised 503 for what had run. A 408 with Not-Executed went to the client although an earlier send may have run. An answer with two ids was judged by the first. Change: an answer without an id counts only on a connection that carried nothing before, as a 421 or for a request without an id; all ids of an answer must be the request's; a proven 408 is one more refusal.

--- a/plumline/router/send.py
+++ b/plumline/router/send.py
@@ -206,8 +206,7 @@
         response = await connection.event()
         assert isinstance(response, h11.Response)
         status, headers = response.status_code, list(response.headers)
-        told = value_of(headers, b"attempt-id")
-        if told != request.id and not (told is None and status == 421):
+        if not self.is_answered_by(connection, status, headers):
             return self.spoilt("surplus")
         if status == 421 or value_of(headers, b"not-executed") is not None:
             if (proof := self.turned_away(status, headers)) is not None:
@@ -229,6 +228,14 @@
             return self.spoilt("not-resumed")
         return await self.relay(connection, status, headers)
 
+    def is_answered_by(self, connection: UpstreamConnection, status: int, headers: Headers) -> bool:
+        """Whether the answer belongs to this request. One without an id may be a late answer to another
+        request wherever one came before; on a new connection it is what answers who sent no id, or a 421."""
+        told = {value for name, value in headers if name == b"attempt-id"}
+        if not told:
+            return not connection.used and (self.request.id is None or status == 421)
+        return told == {self.request.id}
+
     def turned_away(self, status: int, headers: Headers) -> Proof | None:
         """Surely not run. None: the client's own fault, which the endpoint's answer tells it."""
         request, progress, router = self.request, self.progress, self.router
@@ -244,7 +251,7 @@
             if self.salt is None or router.version_at(self.endpoint, model) == self.salt.version:
                 router.shunned[key] = now + SHUNNED
             return Proof.NOT_RUN
-        if status < 500 and status != 429:
+        if status < 500 and status not in PROMISES:
             return None if not progress.started else Proof.NOT_RUN
         self.count("turned-away")
         router.shares.ended(request.service, True)
