Take an answer without a length as whole when closed, and join streams by what tells their place

Cause: an answer without a length was always given up, though its connection's close is its end (a reset is not). A resumed stream took in any body that answered 200, a page of HTML too; an event without an id was lost behind a joint, and one behind a comment hid that no id names the place; the rest of a joined run that had been passed on already was passed on again. Change: the close and the reset of a connection are told apart; an event stream without a length ends behind an event; a run is joined only if it is an event stream, and its events without ids go with those before them; where nothing tells their place the answer is cut.

--- a/plumline/router/relay.py
+++ b/plumline/router/relay.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from plumline.errors import PlumlineError
+
 Headers = list[tuple[bytes, bytes]]
 
 HOP_BY_HOP = frozenset(
@@ -18,6 +20,9 @@
 #: Not passed back: `Not-Executed` is said to us; a client hears the same by the status.
 NOT_BACK = HOP_BY_HOP | {b"not-executed"}
 NO_NAMES: frozenset[bytes] = frozenset()
+#: What ends an event of a stream.
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+LONGEST_END = max(len(each) for each in EVENT_ENDS)
 
 
 def value_of(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> bytes | None:
@@ -50,29 +55,45 @@
 
 
 def is_framed(method: bytes, status: int, headers: Headers) -> bool:
-    """Whether the answer's end can be told from a connection that was cut."""
+    """Whether the answer's end can be told from a connection that was closed."""
     if method == b"HEAD" or status in (204, 304):
         return True
     return any(key in (b"content-length", b"transfer-encoding") for key, _ in headers)
 
 
+def is_event_stream(headers: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Whether the answer is a series of events."""
+    return (value_of(headers, b"content-type") or b"").lower().startswith(b"text/event-stream")
+
+
+def ends_event(text: bytes) -> bool:
+    """Whether an event stream may end with this text: nothing, or the empty line behind an event."""
+    return not text or text.endswith(EVENT_ENDS)
+
+
+class EventUnplacedError(PlumlineError):
+    """An event of a joined run that may or may not have been passed on already."""
+
+    code, status = "event-unplaced", 502
+
+
 class EventJoiner:
     """Whole events of a resumable stream, of one or more runs: none twice, and none by halves.
 
     `last` is the id of the newest event passed on, None while there was none.
     """
 
-    ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
-
     def __init__(self) -> None:
         self.held = b""
         self.last: bytes | None = None
         self.joined = False
         self.placed = True  # what was passed on ends where `last` says
+        self.reached: bool | None = None  # whether the joined run is at `last`; None: no id has come yet
 
     def begin(self) -> None:
         """The answer of another run begins."""
         self.held, self.joined = b"", self.last is not None
+        self.reached = None
 
     def may_join(self) -> bool:
         """Whether a run may be joined to the one that broke off: its events can be told from old ones."""
@@ -81,7 +102,7 @@
     def feed(self, data: bytes) -> bytes:
         """The bytes that may go on now."""
         held = self.held + data if self.held else data
-        end = max((at + len(mark) for mark in self.ENDS if (at := held.rfind(mark)) >= 0), default=0)
+        end = max((at + len(mark) for mark in EVENT_ENDS if (at := held.rfind(mark)) >= 0), default=0)
         whole, self.held = held[:end], held[end:]
         if not whole:
             return b""
@@ -89,18 +110,13 @@
             whole = b"".join(each for each in self.split(whole) if self.is_new(each))
         if not whole:
             return b""
-        if (newest := self.id_of(whole)) is not None:
-            self.last = newest
-        body = whole.rstrip(b"\r\n")
-        event = body[max(body.rfind(mark) for mark in self.ENDS) + 1 :]
-        if b"data" in event:
-            self.placed = self.id_of(event.lstrip(b"\r\n")) is not None
+        self.note_place(whole)
         return whole
 
     def rest(self) -> bytes:
-        """What a complete answer holds behind its last whole event."""
+        """What a complete answer holds behind its last whole event, unless that was passed on already."""
         rest, self.held = self.held, b""
-        return rest
+        return b"" if rest and self.joined and not self.is_new(rest) else rest
 
     def split(self, whole: bytes) -> list[bytes]:
         events, event = [], b""
@@ -112,20 +128,43 @@
         return [*events, event] if event else events
 
     def is_new(self, event: bytes) -> bool:
-        """A joined run goes on where the last one ended: an event without a rising id is none of it."""
+        """Whether an event of a joined run has not been passed on yet. Ids rise, so one without an id is as
+        old as the one before it; at the beginning nothing tells, and EventUnplacedError is raised."""
         found = self.id_of(event)
         if found is None:
-            return b"data" not in event
-        if not found.isdigit() or self.last is None or int(found) <= int(self.last):
+            if b"data" in event and self.reached is None:
+                raise EventUnplacedError("a joined run begins with an event that has no id")
+            return b"data" not in event or self.reached is True
+        if not found.isdigit() or self.last is None:
+            return False
+        self.reached = int(found) >= int(self.last)
+        if int(found) <= int(self.last):
             return False
         self.last = found
         return True
 
+    def note_place(self, whole: bytes) -> None:
+        """Takes the newest id of these events, and whether an event with data but no id follows it."""
+        newest = self.id_of(whole)
+        if newest is None:
+            self.placed = self.placed and b"data" not in whole
+            return
+        self.last = newest
+        named = self.id_at(whole)
+        after = min((at for mark in EVENT_ENDS if (at := whole.find(mark, named)) >= 0), default=0)
+        self.placed = b"data" not in whole[after:]
+
     @staticmethod
-    def id_of(events: bytes) -> bytes | None:
-        """The last id in these events."""
+    def id_at(events: bytes) -> int:
+        """Where the last id in these events stands, -1 if they have none."""
         at = len(events)
         while (at := events.rfind(b"id:", 0, at)) >= 0:
             if at == 0 or events[at - 1 : at] in (b"\n", b"\r"):
-                return events[at + 3 :].splitlines()[0].strip()
-        return None
+                return at
+        return -1
+
+    @classmethod
+    def id_of(cls, events: bytes) -> bytes | None:
+        """The last id in these events."""
+        at = cls.id_at(events)
+        return events[at + 3 :].splitlines()[0].strip() if at >= 0 else None
--- a/plumline/router/send.py
+++ b/plumline/router/send.py
@@ -6,7 +6,17 @@
 
 from plumline.prompts.index import Placement
 from plumline.router.progress import COME_BACK, MARGIN, Proof
-from plumline.router.relay import EventJoiner, Headers, answer_headers, is_framed, value_of
+from plumline.router.relay import (
+    LONGEST_END,
+    EventJoiner,
+    EventUnplacedError,
+    Headers,
+    answer_headers,
+    ends_event,
+    is_event_stream,
+    is_framed,
+    value_of,
+)
 from plumline.router.selection import Picked, Selection
 from plumline.router.state import address_text
 from plumline.router.upstream import (
@@ -216,15 +226,13 @@
         elif status in PROMISES:
             return self.spoilt("unproven")  # what it would promise isn't known
         router.learn_version(self.endpoint, request.prompt.model, headers)
-        if not is_framed(request.method, status, headers):
-            return self.spoilt("unframed")
         if 200 <= status < 300 and (
             value_of(headers, b"server-seal") is None or value_of(headers, b"content-encoding") is not None
         ):
             return self.spoilt("unsealed")
         if status >= 500 and request.route.idempotent and self.could_repeat():
             return self.spoilt("error")
-        if progress.started and status != 200:
+        if progress.started and not (status == 200 and is_event_stream(headers)):
             return self.spoilt("not-resumed")
         return await self.relay(connection, status, headers)
 
@@ -269,23 +277,28 @@
         """The body as it comes. The head waits for the first piece: a break before that can be mended."""
         progress, exchange = self.progress, self.request.exchange
         if not progress.started:
-            stream = (value_of(headers, b"content-type") or b"").startswith(b"text/event-stream")
-            resumable = stream and status == 200 and self.request.route.resumable
+            resumable = is_event_stream(headers) and status == 200 and self.request.route.resumable
             progress.joiner = EventJoiner() if resumable else None
         joiner = progress.joiner
         if joiner:
             joiner.begin()
+        # An event stream without a length that stops within an event has broken off.
+        needs_end = is_event_stream(headers) and not is_framed(self.request.method, status, headers)
+        tail = b""
         while True:
             event = await connection.event()
             if isinstance(event, h11.Data):
                 if not self.wrote:
                     self.first_piece()
                 data = bytes(event.data)
+                tail = (tail + data)[-LONGEST_END:]
                 if joiner:
                     data = joiner.feed(data)
                 if not data:
                     continue
             elif isinstance(event, h11.EndOfMessage):
+                if needs_end and not ends_event(tail):
+                    raise UpstreamError("the stream ends within an event")
                 data = joiner.rest() if joiner else b""
             else:
                 raise UpstreamError("a head within an answer")
--- a/plumline/router/upstream.py
+++ b/plumline/router/upstream.py
@@ -1,7 +1,8 @@
 """The calling side of one HTTP/1.1 connection to an endpoint: h11 on an asyncio transport.
 
 A connection never sends anything twice by itself, never serves another incarnation than the one that it was
-opened for, and notices the peer's end at once, also while it is idle.
+opened for, and notices the peer's end at once, also while it is idle. An answer without a length ends with a
+connection that is closed; where that is reset, the answer is not complete.
 """
 
 import asyncio
@@ -80,6 +81,8 @@
         self.wake()
 
     def eof_received(self) -> bool:
+        if self.busy and not self.ended:
+            self.codec.receive_data(b"")  # the end of an answer that tells no length
         self.end()
         return False
 
@@ -89,8 +92,6 @@
     def end(self) -> None:
         if not self.ended:
             self.ended = True
-            if self.busy:
-                self.codec.receive_data(b"")
             self.wake()
             if self.on_idle_end:
                 self.on_idle_end()
