Never send on a kept connection that has ended or spoken unread, and know a write that took nothing

Cause: a kept connection whose end had come, but which the loop had not read yet, was sent on; the reset that followed left open whether the request had run, so that one that may run once was lost with a 502. Change: a kept connection with anything unread is dropped; a first write that fails has sent nothing, and the request goes on the next kept connection or a new one. A request without an id takes a new connection. What tells unread bytes is shared with the serving side (wire/sockets.py).

--- a/plumline/router/send.py
+++ b/plumline/router/send.py
@@ -116,44 +116,69 @@
         return listed is not None and not listed.draining and not listed.moving
 
     async def run(self) -> Proof:
-        request, progress, router = self.request, self.progress, self.router
-        key = self.endpoint.id
-        connection = router.pool.take_idle(key, router.clock())
+        connection = self.sent_on_kept() or await self.sent_on_new()
         if connection is None:
-            try:
-                connection = await router.pool.connect(key, self.endpoint.address)
-            except UpstreamConnectError:
-                progress.connects += 1
-                progress.tried.add(key)
-                router.outcomes.failed(self.call, router.clock())
-                self.count("connect-failed")
-                return Proof.NOT_RUN
-            self.count("connected")
-        progress.connection = connection
-        if progress.gone or progress.expired or not self.still_there():
-            progress.connects += 1
             return Proof.NOT_RUN
+        try:
+            return await self.receive(connection)
+        except (UpstreamError, EventUnplacedError):
+            return self.broken()
+
+    def sent_on_kept(self) -> UpstreamConnection | None:
+        """The kept connection on which the request went out. One that had ended took nothing of it."""
+        if self.request.id is None:
+            return None  # nothing would tell its answer from one that came late for another request
+        router, progress = self.router, self.progress
+        while connection := router.pool.take_idle(self.endpoint.id, router.clock()):
+            if self.sent_on(connection):
+                return connection
+            progress.connection = None
+            router.pool.drop(self.endpoint.id, connection)
+            if progress.expired:
+                break
+        return None
+
+    async def sent_on_new(self) -> UpstreamConnection | None:
+        """The connection that was opened, with the request out on it; None if it did not go out."""
+        router, progress, key = self.router, self.progress, self.endpoint.id
+        if progress.expired:
+            return None
+        try:
+            connection = await router.pool.connect(key, self.endpoint.address)
+        except UpstreamConnectError:
+            progress.connects += 1
+            progress.tried.add(key)
+            router.outcomes.failed(self.call, router.clock())
+            self.count("connect-failed")
+            return None
+        self.count("connected")
+        progress.connection = connection
+        if not (progress.gone or progress.expired) and self.still_there() and self.sent_on(connection):
+            return connection
+        progress.connects += 1
+        return None
+
+    def sent_on(self, connection: UpstreamConnection) -> bool:
+        """Writes the request; False: surely no byte of it has left."""
+        request, progress, router = self.request, self.progress, self.router
+        progress.connection = connection
         self.began = router.clock()
         left = int((request.until - self.began - MARGIN) * 1000)
         if left <= 0:
             progress.expired = True
-            return Proof.NOT_RUN
+            return False
         try:
             connection.send(request.method, request.target, self.headers(left), request.exchange.body)
         except UpstreamUnsentError:
-            progress.connects += 1
             self.count("unsent")
-            return Proof.NOT_RUN
+            return False
         progress.sends += 1
         progress.granted = False
-        progress.tried.add(key)
+        progress.tried.add(self.endpoint.id)
         if self.salt:
-            router.affinity.sent(self.salt.text, request.prompt.parts, key, self.began)
+            router.affinity.sent(self.salt.text, request.prompt.parts, self.endpoint.id, self.began)
         self.place()
-        try:
-            return await self.receive(connection)
-        except UpstreamError:
-            return self.broken()
+        return True
 
     def headers(self, left: int) -> Headers:
         """Those that go with this send; salt and `Expect-Version` are one and the same version's."""
--- a/plumline/router/upstream.py
+++ b/plumline/router/upstream.py
@@ -11,6 +11,7 @@
 import h11
 
 from plumline.errors import PlumlineError
+from plumline.wire.sockets import has_unread
 
 Address = tuple[str, int]
 Headers = list[tuple[bytes, bytes]]
@@ -103,6 +104,10 @@
     def usable(self) -> bool:
         return not (self.ended or self.busy or self.transport is None or self.transport.is_closing())
 
+    def has_unread(self) -> bool:
+        """Whether the peer has ended the connection, or said something, that the loop has not read yet."""
+        return self.transport is not None and has_unread(self.transport)
+
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Writes a whole request at once. Raises UpstreamUnsentError if surely no byte of it left."""
         if not self.usable() or self.transport is None:
@@ -117,6 +122,8 @@
             raise UpstreamUnsentError(str(error)) from None
         self.busy = True
         self.transport.write(data)
+        if self.transport.is_closing():  # the first write failed: the system took no byte of it
+            raise UpstreamUnsentError("the connection had ended")
 
     async def event(self) -> h11.Response | h11.Data | h11.EndOfMessage:
         """The next event of the answer; interim answers are passed over. Raises UpstreamError."""
@@ -194,12 +201,13 @@
         return self.open.get(key, 0) < most or self.has_idle(key, now)
 
     def take_idle(self, key: str, now: float) -> UpstreamConnection | None:
-        """The most lately used kept connection; those that are over are closed on the way."""
+        """The most lately used kept connection; those that are over, or on which the peer has spoken, are
+        closed on the way."""
         kept = self.idle.get(key, [])
         while kept:
             connection = kept.pop()
             connection.on_idle_end = None
-            if connection.usable() and connection.kept_until > now:
+            if connection.usable() and connection.kept_until > now and not connection.has_unread():
                 return connection
             self.drop(key, connection)
         return None
--- a/plumline/wire/server.py
+++ b/plumline/wire/server.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import logging
-import select
 import socket
 from collections.abc import Callable, MutableMapping
 from enum import Enum
@@ -22,6 +21,7 @@
     check_octets,
     parse_head,
 )
+from plumline.wire.sockets import has_unread
 
 READ_BYTES = 64 * 1024
 AHEAD_BYTES = 64 * 1024  # of next requests kept while one is being answered; then the client waits
@@ -312,15 +312,6 @@
         self.server.held -= self.held
         self.held = 0
 
-    def has_unread(self) -> bool:
-        """Whether bytes have come that the loop has not read yet."""
-        sock = self.transport.get_extra_info("socket")
-        if sock is None or sock.fileno() < 0:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
     def expire_in(self, delay: float) -> None:
         """A timer that goes off earlier is left, and set again then: most requests need none of their own."""
         self.deadline = self.loop.time() + delay
@@ -347,7 +338,7 @@
         elif self.phase is Phase.LEAVING:
             self.transport.abort()
         elif self.phase is Phase.IDLE:
-            if self.has_unread():
+            if has_unread(self.transport):
                 self.expire_in(LINGER)
             else:
                 self.transport.close()
@@ -429,7 +420,7 @@
     def close_idle(self) -> None:
         """Ends the connections that owe nobody an answer; one whose bytes wait to be read is read first."""
         for each in list(self.connections):
-            if each.phase is Phase.IDLE and not each.buffer and not each.has_unread():
+            if each.phase is Phase.IDLE and not each.buffer and not has_unread(each.transport):
                 if not each.transport.get_write_buffer_size():
                     each.transport.close()
                 else:
