--- /dev/null
+++ b/tests/test_answer_matching.py
@@ -0,0 +1,304 @@
+"""Which answer belongs to which request, what proves that a request has not run, and whole answers only:
+each case by itself, against scripted endpoints on loopback.
+"""
+
+import asyncio
+import socket
+import struct
+
+import h11
+import pytest
+from test_dispatch import Act, Peer, answer, document, made, stream, unchunked, within
+
+from plumline.errors import PlumlineError
+from plumline.router.relay import EventJoiner, EventUnplacedError
+from plumline.router.upstream import Pool, UpstreamConnection, UpstreamError, UpstreamUnsentError
+
+STREAM_HEADERS = b"Content-Type: text/event-stream\r\n"
+
+
+def raw(text: bytes, then: str = "") -> Act:
+    """These bytes, with the request's id for %ID, and then a close, a reset or nothing."""
+
+    async def act(peer: Peer, head: dict[str, str], writer: asyncio.StreamWriter) -> None:
+        writer.write(text.replace(b"%ID", head.get("attempt-id", "").encode()))
+        await writer.drain()
+        if then == "close":
+            writer.close()
+        elif then == "reset":
+            linger = socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(*linger)
+            writer.transport.abort()
+
+    return act
+
+
+def unframed(body: bytes, then: str, headers: bytes = b"") -> Act:
+    """An answer without a length."""
+    return raw(b"HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\nServer-Seal: s\r\n" + headers + b"\r\n" + body, then)
+
+
+def test_a_421_without_an_id_proves_nothing_where_another_answer_came_before() -> None:
+    """It may be a late one; the request behind it runs on."""
+
+    async def work() -> None:
+        nameless = raw(b"HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n")
+        first = Peer("e1", answer(), nameless, answer())
+        router = await made(document(Kind="non_idempotent"), first)
+        assert (await router.ask())[0] == 200
+        second = await Peer("e2", answer()).start()
+        router.fleet.take_roster([first.entry(), second.entry(zone="far")])
+        assert (await router.ask())[0] == 502
+        assert (first.connections, len(second.heads)) == (1, 0)
+        # On a new connection it can only be the answer to this request.
+        alone = Peer("e3", nameless)
+        router = await made(document(Kind="non_idempotent"), alone)
+        assert (await router.ask())[0] == 503
+
+    within(work())
+
+
+def test_an_answer_with_two_ids_is_nobodys() -> None:
+    async def work() -> None:
+        both = raw(
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: %ID\r\nAttempt-Id: another\r\nServer-Seal: s\r\n"
+            b"Content-Length: 1\r\n\r\nx"
+        )
+        router = await made(document(Kind="non_idempotent"), Peer("e1", both))
+        assert (await router.ask())[0] == 502
+
+    within(work())
+
+
+def test_a_request_without_an_id_has_a_connection_of_its_own() -> None:
+    async def work() -> None:
+        plain = raw(b"HTTP/1.1 400 No\r\nNot-Executed: 1\r\nContent-Length: 2\r\n\r\nid")
+        peer = Peer("e1", answer(), plain)
+        router = await made(document(), peer)
+        assert (await router.ask())[0] == 200
+        reader, writer = await asyncio.open_connection(*router.server.address())
+        writer.write(b"GET /a/ HTTP/1.1\r\nHost: h.example\r\nConnection: close\r\n\r\n")
+        assert (await reader.read()).startswith(b"HTTP/1.1 400 ")
+        assert peer.connections == 2
+        writer.close()
+
+    within(work())
+
+
+def test_a_408_that_one_endpoint_proves_is_no_promise_for_another() -> None:
+    async def work() -> None:
+        refused = answer(408, b"", seal=False, Not_Executed="1")
+        sent: list[str] = []
+
+        async def act(peer: Peer, head: dict[str, str], writer: asyncio.StreamWriter) -> None:
+            sent.append(peer.id)
+            if len(sent) == 1:
+                writer.transport.abort()  # it may have run here
+            else:
+                await refused(peer, head, writer)
+
+        router = await made(document(AttemptLimit=2), Peer("e1", act), Peer("e2", act))
+        assert (await router.ask())[0] == 502
+        assert len(set(sent)) == 2
+
+    within(work())
+
+
+@pytest.mark.parametrize(
+    ("act", "body", "whole"),
+    [
+        (unframed(b"some text", "close"), b"some text", True),
+        (unframed(b"some text", "reset"), b"some text", False),
+        (unframed(b"data: 1\n\n", "close", STREAM_HEADERS), b"data: 1\n\n", True),
+        (unframed(b"data: 1\n\ndata: 2\n", "close", STREAM_HEADERS), b"data: 1\n\ndata: 2\n", False),
+    ],
+)
+def test_an_answer_without_a_length_ends_with_a_close_and_not_with_a_reset(
+    act: Act, body: bytes, whole: bool
+) -> None:
+    async def work() -> None:
+        peer = Peer("e1", act)
+        router = await made(document(Kind="streaming"), peer)
+        status, _, rest = await router.ask()
+        if status == 200:
+            got, ended = unchunked(rest)
+            assert ended is whole and (got == body if whole else body.startswith(got))
+        else:
+            assert status == 502 and not whole  # the reset came before a byte was passed on
+        await router.ask()
+        assert peer.connections == 2  # its connection is never used again
+
+    within(work())
+
+
+def test_a_stream_is_not_resumed_with_what_is_no_stream() -> None:
+    async def work() -> None:
+        sent: list[str] = []
+        page = answer(200, b"<p>sorry</p>\n\n", Content_Type="text/html")
+        broken = stream(b"id: 1\ndata: a\n\n", ends=False)
+
+        async def act(peer: Peer, head: dict[str, str], writer: asyncio.StreamWriter) -> None:
+            sent.append(peer.id)
+            await (broken if len(sent) == 1 else page)(peer, head, writer)
+
+        configuration = document(Kind="streaming", Resumable=True, AttemptLimit=2)
+        router = await made(configuration, Peer("e1", act), Peer("e2", act))
+        assert unchunked((await router.ask())[2]) == (b"id: 1\ndata: a\n\n", False)
+        assert len(sent) == 2
+
+    within(work())
+
+
+# Kept connections.
+
+
+async def pair() -> tuple[UpstreamConnection, socket.socket]:
+    """A connection and the endpoint's end of it."""
+    ours, theirs = socket.socketpair()
+    ours.setblocking(False)
+    loop = asyncio.get_running_loop()
+    _, connection = await loop.create_connection(UpstreamConnection, sock=ours)
+    return connection, theirs
+
+
+@pytest.mark.parametrize("spoken", [b"", b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"])
+def test_a_kept_connection_that_has_ended_or_spoken_is_not_used_even_before_the_loop_knows(
+    spoken: bytes,
+) -> None:
+    async def work() -> None:
+        pool = Pool()
+        for _ in range(2):
+            connection, theirs = await pair()
+            connection.kept_until = 10.0
+            pool.open["e1"] = pool.open.get("e1", 0) + 1
+            pool.idle.setdefault("e1", []).append(connection)
+            theirs.sendall(spoken) if spoken else theirs.close()
+        # No turn of the loop since: it has not read any of this.
+        assert pool.take_idle("e1", 1.0) is None
+        assert not pool.open
+
+    within(work())
+
+
+class ClosingTransport(asyncio.Transport):
+    """Its first write fails, as on a socket whose reset has come."""
+
+    closing = False
+
+    def write(self, data: object) -> None:
+        self.closing = True
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def abort(self) -> None:
+        self.closing = True
+
+
+def test_a_first_write_that_fails_has_sent_nothing() -> None:
+    connection = UpstreamConnection()
+    connection.connection_made(ClosingTransport())
+    with pytest.raises(UpstreamUnsentError):
+        connection.send(b"POST", b"/a", [(b"host", b"h")], b"")
+
+
+def test_a_request_goes_on_another_connection_where_kept_ones_have_ended() -> None:
+    """Each of them took nothing of it, so that it is sent once, also if it may run once only."""
+
+    async def work() -> None:
+        peer = Peer("e1", answer())
+        router = await made(document(Kind="non_idempotent", AttemptLimit=1), peer)
+        assert (await router.ask())[0] == 200
+        kept = router.dispatcher.pool.idle["e1"][0]
+        closed = kept.transport
+        kept.transport = ClosingTransport()
+        assert (await router.ask())[0] == 200
+        assert (len(peer.heads), peer.connections) == (2, 2)
+        assert router.counters.get("send-unsent") == 1
+        closed.abort()
+
+    within(work())
+
+
+def fed(connection: UpstreamConnection, data: bytes, how: str) -> list[str]:
+    """What a connection with a request out makes of these bytes and of its end."""
+
+    async def read() -> list[str]:
+        found = []
+        try:
+            while not isinstance(event := await connection.event(), h11.EndOfMessage):
+                found.append(type(event).__name__)
+        except UpstreamError:
+            return [*found, "broken"]
+        return [*found, "whole"]
+
+    connection.connection_made(ClosingTransport())
+    connection.busy = True
+    connection.codec.send(h11.Request(method="GET", target="/", headers=[("Host", "h")]))
+    connection.codec.send(h11.EndOfMessage())
+    connection.data_received(data)
+    if how == "close":
+        connection.eof_received()
+    connection.connection_lost(None if how == "close" else ConnectionResetError())
+    return asyncio.run(read())
+
+
+@pytest.mark.parametrize(
+    ("data", "how", "end"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\nhalf", "close", "whole"),
+        (b"HTTP/1.1 200 OK\r\n\r\nhalf", "reset", "broken"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", "close", "broken"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull", "reset", "whole"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "close", "broken"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n", "close", "broken"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n", "reset", "whole"),
+        (b"HTTP/1.1 101 Switch\r\nUpgrade: x\r\n\r\n", "close", "broken"),
+        (b"HTTP/1.1 103 Early\r\n\r\n", "close", "broken"),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy", "close", "broken"),
+    ],
+)
+def test_where_an_answer_ends(data: bytes, how: str, end: str) -> None:
+    assert fed(UpstreamConnection(), data, how)[-1] == end
+
+
+# Streams of several runs.
+
+
+def joined(*runs: list[bytes]) -> bytes:
+    joiner, out = EventJoiner(), b""
+    for run in runs:
+        joiner.begin()
+        out += b"".join(joiner.feed(piece) for piece in run)
+    return out + joiner.rest()
+
+
+A, B, C = (b"id: %d\ndata: %c\n\n" % (n, 96 + n) for n in (1, 2, 3))
+
+
+def test_events_without_ids_are_placed_by_those_before_them() -> None:
+    plain = b"data: between\n\n"
+    assert joined([A], [plain.replace(b"data", b": no"), B]) == A + b": no: between\n\n" + B
+    assert joined([A, B], [A, plain, B, plain, C]) == A + B + plain + C
+    with pytest.raises(EventUnplacedError):
+        joined([A], [plain, B])
+    assert issubclass(EventUnplacedError, PlumlineError)
+
+
+def test_a_run_is_not_joined_behind_an_event_that_no_id_names() -> None:
+    for text, may in ((A, True), (A + b": comment\n\n", True), (A + b"data: x\n\n: comment\n\n", False)):
+        joiner = EventJoiner()
+        joiner.begin()
+        joiner.feed(text)
+        assert joiner.may_join() is may
+        joiner.feed(B)  # from here on the place is known again
+        assert joiner.may_join()
+
+
+def test_the_rest_of_a_joined_run_is_passed_on_once_only() -> None:
+    assert joined([A, B], [A, B.rstrip(b"\n")]) == A + B
+    assert joined([A], [B.rstrip(b"\n")]) == A + B.rstrip(b"\n")
+    assert joined([A, b"half"]) == A + b"half"
--- /dev/null
+++ b/tests/test_wire_properties.py
@@ -0,0 +1,123 @@
+"""What clients, endpoints and the budget may rely on, whatever endpoints and clients do: random runs of the
+whole request path (`wire_world`), and the same runs with one guard taken out, which they must notice.
+"""
+
+import inspect
+import os
+import sys
+import textwrap
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from wire_world import World
+
+from plumline.router.job import Job
+from plumline.router.progress import Progress
+from plumline.router.relay import EventJoiner
+from plumline.router.selection import Selection
+from plumline.router.send import Send
+from plumline.router.upstream import UpstreamConnection
+from plumline.wire.server import Connection
+
+RUNS = int(os.environ.get("PLUMLINE_WIRE_RUNS", "150"))
+MOST_SEEDS = 300  # within which a guard that is missing must show
+
+
+@settings(max_examples=RUNS, deadline=None, derandomize=True)
+@given(st.integers(0, 2**48))
+def test_no_answer_goes_astray_and_nothing_runs_twice(seed: int) -> None:
+    assert World(seed).play() == []
+
+
+def test_the_same_seed_is_the_same_run() -> None:
+    def played() -> list[tuple[str, int, bytes, float]]:
+        world = World(7)
+        world.play()
+        return [(each.id, each.status, each.answer, each.ended) for each in world.asked.values()]
+
+    assert played() == played()
+
+
+def test_the_runs_hold_every_kind_of_end() -> None:
+    """Else they would show little."""
+    ends: set[tuple[int, bool]] = set()
+    repeats = gone = 0
+    for seed in range(30):
+        world = World(seed)
+        world.play()
+        ends |= {(each.status, each.complete) for each in world.asked.values()}
+        gone += sum(bool(each.left) for each in world.asked.values())
+        repeats += world.allowance.granted
+    assert {(200, True), (200, False), (400, True), (502, True), (503, True), (504, True), (0, False)} <= ends
+    assert repeats > 50 and gone > 20
+
+
+@dataclass(frozen=True)
+class Guard:
+    """A piece of a method that keeps a promise, and what stands there once it is taken out."""
+
+    owner: type
+    method: str
+    text: str
+    without: str
+
+    def __str__(self) -> str:
+        return f"{self.owner.__name__}.{self.method}: {' '.join(self.text.split())[:50]}"
+
+    def taken_out(self) -> Callable[..., Any]:
+        method = getattr(self.owner, self.method)
+        source = textwrap.dedent(inspect.getsource(method))
+        assert source.count(self.text) == 1, "the guard has moved"
+        names: dict[str, Any] = {}
+        exec(source.replace(self.text, self.without), vars(sys.modules[self.owner.__module__]), names)
+        return names[self.method]
+
+
+GUARDS = [
+    # Which request an answer belongs to.
+    Guard(Send, "is_answered_by", "return told == {self.request.id}", "return True"),
+    Guard(Send, "is_answered_by", "not connection.used and ", ""),
+    # What proves that a request has not run.
+    Guard(Send, "receive", "elif status in PROMISES:", "elif False:"),
+    Guard(Send, "spoilt", "return Proof.MAY_HAVE_RUN", "return Proof.NOT_RUN"),
+    Guard(Send, "turned_away", " and status not in PROMISES", " and status != 429"),
+    Guard(
+        Send,
+        "broken",
+        "self.router.outcomes.failed(self.call, now)\n    return Proof.MAY_HAVE_RUN",
+        "return Proof.NOT_RUN",
+    ),
+    Guard(Job, "work", "progress.ran |= proof is Proof.MAY_HAVE_RUN", "pass"),
+    Guard(Job, "give_up", "elif not progress.ran:", "elif True:"),
+    # Who may send it again, and how often.
+    Guard(Progress, "may_send", "return not self.ran or route.idempotent", "return True"),
+    Guard(Progress, "may_send", "self.sends >= route.attempt_limit or ", ""),
+    Guard(Send, "sent_on", "progress.granted = False", "pass"),
+    Guard(Selection, "pick", "key in progress.tried or ", ""),
+    # Whole answers only.
+    Guard(Send, "receive", 'return self.spoilt("unsealed")', "pass"),
+    Guard(Send, "relay", "if needs_end and not ends_event(tail):", "if False:"),
+    Guard(UpstreamConnection, "end", "self.wake()", 'self.codec.receive_data(b"")\n        self.wake()'),
+    Guard(Job, "give_up", "self.exchange.abort()", "self.exchange.finish()"),
+    # A stream of several runs.
+    Guard(Send, "receive", " and is_event_stream(headers)", ""),
+    Guard(EventJoiner, "begin", 'self.held, self.joined = b"", ', "self.joined = "),
+    Guard(EventJoiner, "feed", "if self.joined and self.last is not None:", "if False:"),
+    Guard(EventJoiner, "feed", "held[:end], held[end:]", 'held, b""'),
+    Guard(EventJoiner, "may_join", "return self.placed and ", "return "),
+    # One request at a time on a connection; nothing for a client that has gone, or after its time.
+    Guard(Connection, "advance", "self.phase in (Phase.ANSWER, Phase.LEAVING) or ", ""),
+    Guard(Job, "client_gone", "self.progress.connection.close()", "pass"),
+    Guard(Job, "work", "if progress.gone:", "if False:"),
+    Guard(Job, "expire", "self.progress.connection.close()", "pass"),
+]
+
+
+@pytest.mark.parametrize("guard", GUARDS, ids=str)
+def test_without_a_guard_a_run_shows_it(guard: Guard, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(guard.owner, guard.method, guard.taken_out())
+    assert any(World(seed).play() for seed in range(MOST_SEEDS))
