Hold the relay and the operators' interface by examples; a cut-off tail answers at once

A tail without a majority in touch kept a read until its caller left; it now answers that another should be asked, as the head does. Shown by tests/test_relay.py and tests/test_registrar.py.

--- a/plumline/registrar/relay.py
+++ b/plumline/registrar/relay.py
@@ -95,7 +95,7 @@
             case ["ask", str(key), ["submit", list(change)]]:
                 self._on_submit(now, sender, key, change)
             case ["ask", str(key), ["read"]]:
-                self._on_read(sender, key)
+                self._on_read(now, sender, key)
             case ["answer", str(key), str() | None as code, str(text), result]:
                 self._on_answer(sender, key, code, text, result)
             case _:
@@ -112,7 +112,11 @@
 
         self.core.chain.submit(change, submitted)
 
-    def _on_read(self, sender: str, key: str) -> None:
+    def _on_read(self, now: float, sender: str, key: str) -> None:
+        if not self.core.has_majority(now):
+            self._answer(sender, key, UnavailableError("the tail is cut off from the majority"), None)
+            return
+
         def found(state: Any) -> None:  # noqa: ANN401
             if state is None:
                 self._answer(sender, key, UnavailableError("not a tail that may answer"), None)
--- a/tests/test_registrar.py
+++ b/tests/test_registrar.py
@@ -59,3 +59,60 @@
     assert second.core.views.view is None
     first.writer.close()
     second.writer.close()
+
+
+class Exchange:
+    """A request of an operator, and the answer that it gets."""
+
+    def __init__(self, method: str, path: str, body: bytes = b"", based_on: bytes = b"0") -> None:
+        self.method, self.path, self.body, self.gone = method, path, body, False
+        self.headers = [(b"based-on-version", based_on)]
+        self.answer: tuple[int, dict[bytes, bytes], bytes] | None = None
+
+    def respond(self, status: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
+        self.answer = status, dict(headers), body
+
+
+@play
+async def test_a_registrar_that_knows_nothing_refuses_nothing(tmp_path: Path) -> None:
+    """It says at once that another should be asked: before it has a view, and before any configuration."""
+    registrar = Registrar(settings_for(tmp_path))
+    calls = [
+        Exchange("GET", "/Configuration.Read"),
+        Exchange("POST", "/Configuration.Replace", b'{"Version":1}'),
+        Exchange("POST", "/Configuration.Amend", b'{"Version":3}', b"2"),
+        Exchange("POST", "/version-put", b'{"Model":"m","Version":1}'),
+    ]
+    for each in calls:
+        await soon(registrar.operators.serve(each))
+        assert each.answer is not None
+        assert (each.answer[0], each.answer[1][b"Retry-After"]) == (503, b"0.3")
+    cut_short = Exchange("POST", "/Configuration.Replace", b'{"Version":')
+    await soon(registrar.operators.serve(cut_short))  # no state could ever take this one
+    assert cut_short.answer is not None and cut_short.answer[0] == 400
+    await soon(formed(registrar))
+    read = Exchange("GET", "/Configuration.Read")
+    await soon(registrar.operators.serve(read))
+    assert read.answer is not None and read.answer[0] == 503
+    registrar.writer.close()
+
+
+@play
+async def test_orders_are_acknowledged_repeated_and_refused_over_http(tmp_path: Path) -> None:
+    registrar = Registrar(settings_for(tmp_path))
+    await soon(formed(registrar))
+
+    async def status(body: bytes, based_on: bytes, path: str = "/Configuration.Replace") -> int:
+        exchange = Exchange("POST", path, body, based_on)
+        await soon(registrar.operators.serve(exchange))
+        assert exchange.answer is not None
+        return exchange.answer[0]
+
+    assert await status(b'{"Version":3,"Limits":{}}', b"0") == 200
+    assert await status(b'{ "Limits": {},\n "Version": 3 }', b"0") == 200  # the same, written in another way
+    assert await status(b'{"Version":3}', b"0") == 412
+    assert await status(b'{"Version":2}', b"3") == 400
+    assert await status(b'{"Version":9}', b"5") == 503  # version 5 may be under way
+    assert await status(b'{"Version":5}', b"3", "/Configuration.Amend") == 200
+    assert await status(b'{"Version":3,"Limits":{}}', b"0") == 200
+    registrar.writer.close()
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,160 @@
+"""What a registrar's relay asks, whose answers it takes, and for how long it waits."""
+
+from typing import Any
+
+import pytest
+
+from plumline.errors import PlumlineError, UnavailableError, VersionConflictError
+from plumline.registrar.relay import LARGE_BODY_BYTES_PER_S, PATIENCE_S, Relay
+
+CHANGE = ["amend", 1, {"Version": 2}]
+
+
+class Contacts:
+    def __init__(self) -> None:
+        self.silent: set[str] = set()
+
+    def alive(self, now: float, address: str) -> bool:
+        return address not in self.silent
+
+
+class Chain:
+    def __init__(self) -> None:
+        self.submitted: list[Any] = []
+        self.reads: list[Any] = []
+
+    def submit(self, change: list[Any], answer: Any) -> None:  # noqa: ANN401
+        self.submitted.append((change, answer))
+
+    def read(self, answer: Any) -> None:  # noqa: ANN401
+        self.reads.append(answer)
+
+
+class Core:
+    """As much of a core as the relay looks at."""
+
+    def __init__(self) -> None:
+        self.me = ("me", "1")
+        self.contacts, self.chain = Contacts(), Chain()
+        self.majority = True
+        self.chain_head: str | None = "head"
+
+    def has_majority(self, now: float) -> bool:
+        return self.majority
+
+    def head(self) -> str | None:
+        return self.chain_head
+
+    def tail(self) -> str | None:
+        return "tail"
+
+
+class Scene:
+    def __init__(self) -> None:
+        self.core = Core()
+        self.sent: list[tuple[str, list[Any]]] = []
+        self.relay = Relay(self.core, lambda to, message: self.sent.append((to, message)))  # type: ignore[arg-type]
+        self.answers: list[tuple[PlumlineError | None, Any]] = []
+
+    def submit(self, size: int = 0) -> str:
+        """The key of the question that went out."""
+        self.relay.submit(0.0, CHANGE, size, self.take)
+        return self.sent[-1][1][1]
+
+    def take(self, error: PlumlineError | None, result: Any) -> None:  # noqa: ANN401
+        self.answers.append((error, result))
+
+    def unavailable(self) -> bool:
+        return len(self.answers) == 1 and isinstance(self.answers[0][0], UnavailableError)
+
+
+def test_a_change_goes_to_the_head_and_its_answer_comes_once() -> None:
+    scene = Scene()
+    key = scene.submit()
+    assert scene.sent == [("head", ["ask", key, ["submit", CHANGE]])]
+    for _ in range(2):
+        assert scene.relay.on_message(0.1, "head", ["answer", key, None, "", {"taken": True}])
+    scene.relay.tick(60.0)
+    assert scene.answers == [(None, {"taken": True})]
+
+
+def test_an_error_keeps_its_type() -> None:
+    scene = Scene()
+    key = scene.submit()
+    scene.relay.on_message(0.1, "head", ["answer", key, "version-conflict", "no", None])
+    assert isinstance(scene.answers[0][0], VersionConflictError) and scene.answers[0][0].text == "no"
+
+
+def test_an_answer_counts_only_from_whom_was_asked_and_in_time() -> None:
+    scene = Scene()
+    key = scene.submit()
+    scene.relay.on_message(0.1, "another", ["answer", key, "version-conflict", "no", None])
+    assert scene.answers == []
+    scene.relay.tick(PATIENCE_S - 0.01)
+    assert scene.answers == []
+    scene.relay.tick(PATIENCE_S)
+    assert scene.unavailable()
+    scene.relay.on_message(PATIENCE_S + 0.1, "head", ["answer", key, "version-conflict", "no", None])
+    assert scene.unavailable()
+
+
+def test_a_large_body_is_waited_for_longer() -> None:
+    scene = Scene()
+    scene.submit(size=2 * LARGE_BODY_BYTES_PER_S)
+    scene.relay.tick(PATIENCE_S + 1.99)
+    assert scene.answers == []
+    scene.relay.tick(PATIENCE_S + 2.0)
+    assert scene.unavailable()
+
+
+@pytest.mark.parametrize("why", ["no view", "no majority", "silent head"])
+def test_what_can_not_be_answered_is_said_at_once(why: str) -> None:
+    scene = Scene()
+    if why == "no view":
+        scene.core.chain_head = None
+    elif why == "no majority":
+        scene.core.majority = False
+    else:
+        scene.core.contacts.silent.add("head")
+    scene.relay.submit(0.0, CHANGE, 4_000_000, scene.take)
+    assert scene.unavailable() and not scene.sent
+
+
+@pytest.mark.parametrize("why", ["no majority", "silent head"])
+def test_a_question_that_is_out_ends_as_soon_as_that_is_known(why: str) -> None:
+    scene = Scene()
+    scene.submit(size=4_000_000)
+    if why == "no majority":
+        scene.core.majority = False
+    else:
+        scene.core.contacts.silent.add("head")
+    scene.relay.tick(0.05)
+    assert scene.unavailable()
+
+
+def test_a_head_or_tail_without_a_majority_takes_nothing_in() -> None:
+    scene = Scene()
+    scene.core.majority = False
+    for question in (["submit", CHANGE], ["read"]):
+        assert scene.relay.on_message(0.0, "asker", ["ask", "k", question])
+        to, message = scene.sent.pop()
+        assert (to, message[:3]) == ("asker", ["answer", "k", "unavailable"])
+    assert not scene.core.chain.submitted and not scene.core.chain.reads
+
+
+def test_the_head_and_the_tail_answer_whoever_asked() -> None:
+    scene = Scene()
+    scene.relay.on_message(0.0, "asker", ["ask", "k", ["submit", CHANGE]])
+    change, answer = scene.core.chain.submitted[0]
+    assert change == CHANGE and not scene.sent
+    answer(None)
+    assert scene.sent.pop() == ("asker", ["answer", "k", None, "", {"taken": True}])
+    scene.relay.on_message(0.0, "asker", ["ask", "k", ["read"]])
+    scene.core.chain.reads[0](None)
+    assert scene.sent.pop()[1][2] == "unavailable"
+
+
+def test_other_messages_are_not_the_relays() -> None:
+    scene = Scene()
+    for message in (["ping", 1], ["ask", 7, ["read"]], ["ask", "k", ["drop"]], ["answer", "k", 5, "", None]):
+        assert not scene.relay.on_message(0.0, "x", message)
