Send an order on a new connection only

Cause: nothing in an order's answer tells it from a late answer to a report on the same kept connection: a 200 there reads as 'it holds already', and the endpoint would never be moved. Change: calls whose answers can't be told apart are marked in the table and take a new connection.

--- a/plumline/wire/calls.py
+++ b/plumline/wire/calls.py
@@ -88,7 +88,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """One row of the table: who calls whom with what, and which statuses the pages name for it."""
+    """One row of the table: who calls whom with what, and which statuses the pages name for it.
+
+    `matched`: its answer says what it answers, or is of no harm to another call. One that isn't goes out on a
+    new connection, where no late answer to another call can stand in for its own.
+    """
 
     name: str
     method: str
@@ -96,6 +100,7 @@
     answers: tuple[int, ...]
     priced: Price
     direction: Direction = "out"
+    matched: bool = True
 
 
 CALLS: dict[str, Call] = {
@@ -103,7 +108,7 @@
     for call in (
         Call("instances", "GET", "/instances", (200, 429), "platform"),
         Call("report", "GET", "/report", (200,), "probe"),
-        Call("order", "POST", "/order", (200, 202, 400, 409, 412, 421), "order"),
+        Call("order", "POST", "/order", (200, 202, 400, 409, 412, 421), "order", matched=False),
         Call("health", "GET", "/health", (200, 503), "probe"),
         # Priced as a probe when it is over the limit or waits under 200 ms.
         Call("kv_events", "GET", "/kv-events", (200, 429), "probe-or-wait"),
@@ -194,7 +199,9 @@
         connection: Connection | None = None
         try:
             async with asyncio.timeout(timeout_s) as whole:
-                connection = self._reused(address) or await self._opened(address, min(connect_s, timeout_s))
+                connection = self._reused(address) if row.matched else None
+                if connection is None:
+                    connection = await self._opened(address, min(connect_s, timeout_s))
                 if prepare:
                     body = prepare()
                 data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
