Drop what the network has held up of a request or call that is given up

Cause: closing a connection leaves bytes that were not sent yet to the system, which delivers them when a cut link heals: a request whose client has gone, or an order that was repeated meanwhile, could arrive seconds later. Change: a connection with a request out that is given up is reset, at which unsent bytes are dropped. Result: test_answer_matching.py and test_calls.py see a reset where they saw a close.

--- a/plumline/router/upstream.py
+++ b/plumline/router/upstream.py
@@ -11,7 +11,7 @@
 import h11
 
 from plumline.errors import PlumlineError
-from plumline.wire.sockets import has_unread
+from plumline.wire.sockets import has_unread, reset_on_close
 
 Address = tuple[str, int]
 Headers = list[tuple[bytes, bytes]]
@@ -178,8 +178,11 @@
         return True
 
     def close(self) -> None:
-        """Ends the connection at once; whoever waits for an event meets UpstreamError."""
+        """Ends the connection at once; whoever waits for an event meets UpstreamError. Of a request that is
+        given up nothing leaves any more, also when the network has held it up."""
         if self.transport:
+            if self.busy:
+                reset_on_close(self.transport)
             self.transport.abort()
         self.end()
 
--- a/plumline/wire/calls.py
+++ b/plumline/wire/calls.py
@@ -168,7 +168,7 @@
 class Caller:
     """Makes the outgoing calls of the table and keeps few idle connections, one an address.
 
-    It never sends a call twice by itself.
+    It never sends a call twice by itself, and of one that it gives up nothing leaves any more.
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
@@ -195,7 +195,7 @@
         """
         row = CALLS[name]
         target = (path or row.path) + (f"?{query}" if query else "")
-        sent = False
+        sent = answered = False
         connection: Connection | None = None
         try:
             async with asyncio.timeout(timeout_s) as whole:
@@ -211,6 +211,7 @@
                 sent = True
                 await connection.send(row.method, target, lines, data)
                 answer = await self._answer(connection, lines.get(ATTEMPT_ID))
+                answered = True
         except TimeoutError:
             late = f"no answer in {timeout_s} s" if whole.expired() else "the head does not end"
             raise CallTimeoutError(f"{name}: {late}", sent=sent) from None
@@ -221,7 +222,9 @@
                 connection = None
             return answer
         finally:
-            if connection:
+            if connection and sent and not answered:
+                connection.reset()  # what has not left yet never will
+            elif connection:
                 connection.close()
 
     async def _opened(self, address: Address, connect_s: float) -> Connection:
--- a/plumline/wire/exchange.py
+++ b/plumline/wire/exchange.py
@@ -6,8 +6,6 @@
 
 import asyncio
 import re
-import socket
-import struct
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -16,6 +14,7 @@
 import h11
 
 from plumline.errors import PlumlineError
+from plumline.wire.sockets import reset_on_close
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -26,7 +25,6 @@
 CHUNK_LINE_BYTES = 256
 TRAILER_BYTES = 8192
 UNREAD_BYTES = 64 * 1024  # of an answer that wait for the client before `drain` waits
-RESET = struct.pack("ii", 1, 0)  # SO_LINGER: the close is a reset
 CONNECTION_ONLY = frozenset(
     (b"connection", b"keep-alive", b"transfer-encoding", b"proxy-connection", b"upgrade")
 )
@@ -382,9 +380,7 @@
         transport = self._carrier.transport
         if self.started and not self._chunked and self._left is None:
             # The end of the connection would be the body's end, or nothing of the body was owed.
-            sock = transport.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            reset_on_close(transport)
             transport.abort()
         self._carrier.answered(False)
 
--- a/plumline/wire/http.py
+++ b/plumline/wire/http.py
@@ -8,6 +8,7 @@
 import h11
 
 from plumline.errors import PlumlineError
+from plumline.wire.sockets import NO_LINGER
 
 HEADER_LIMIT = 16 * 1024
 BODY_LIMIT = 64 * 1024
@@ -233,6 +234,11 @@
     def close(self) -> None:
         self.sock.close()
 
+    def reset(self) -> None:
+        """Ends the connection at once; bytes that have not left yet are dropped."""
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+        self.sock.close()
+
     def let_go(self) -> None:
         """It is another process's now, which holds a descriptor of its own: this one goes at once, or the
         connection would outlast the other's closing of it."""
--- a/tests/test_answer_matching.py
+++ b/tests/test_answer_matching.py
@@ -223,6 +223,31 @@
     within(work())
 
 
+def test_a_request_that_is_given_up_ends_with_a_reset() -> None:
+    """What the network has held up of it is dropped; a connection that rests ends with a close."""
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        server = socket.create_server(("127.0.0.1", 0))
+        for busy in (True, False):
+            _, connection = await loop.create_connection(UpstreamConnection, *server.getsockname())
+            theirs = server.accept()[0]
+            theirs.setblocking(False)
+            if busy:
+                connection.send(b"POST", b"/a", [(b"host", b"h")], b"")
+                assert (await loop.sock_recv(theirs, 100)).startswith(b"POST /a ")
+            connection.close()
+            if busy:
+                with pytest.raises(ConnectionResetError):
+                    await loop.sock_recv(theirs, 100)
+            else:
+                assert await loop.sock_recv(theirs, 100) == b""
+            theirs.close()
+        server.close()
+
+    within(work())
+
+
 def fed(connection: UpstreamConnection, data: bytes, how: str) -> list[str]:
     """What a connection with a request out makes of these bytes and of its end."""
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -244,3 +244,43 @@
 
     play(scene, peer.serve)
     assert [json.loads(each[2]) for each in peer.asked] == [{"F": 1}]
+
+
+def test_an_order_never_goes_where_a_late_answer_to_another_call_may_come() -> None:
+    """Its answer has nothing that tells it apart: a 200 to the report before would say that it holds."""
+    report = {"Models": [], "Busy": False}
+    peer = Peer(answer(200, report), answer(202), answer(200, report))
+
+    async def scene(caller: Caller, address: Address) -> None:
+        assert (await caller.call("report", address, timeout_s=5)).status == 200
+        assert address in caller.idle
+        assert (await caller.call("order", address, body={}, timeout_s=5)).status == 202
+        assert peer.connections == 2
+        assert (await caller.call("report", address, timeout_s=5)).json == report
+        assert peer.connections == 2
+
+    play(scene, peer.serve)
+
+
+def test_a_call_that_is_given_up_ends_with_a_reset() -> None:
+    """What the network has held up of it is dropped: it may not come when it is forgotten."""
+    ended: list[type] = []
+    over = asyncio.Event()
+
+    async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await request_from(reader)
+            await reader.read()
+            ended.append(type(None))
+        except ConnectionError as error:
+            ended.append(type(error))
+        over.set()
+        writer.close()
+
+    async def scene(caller: Caller, address: Address) -> None:
+        with pytest.raises(CallTimeoutError):
+            await caller.call("order", address, body={"Version": 2}, timeout_s=0.05)
+        await over.wait()
+        assert ended == [ConnectionResetError]
+
+    play(scene, silent)
