Walk a prompt's parts in one place; type the routers' news

Cause: index, loads and choice each walked a prompt's parts the same way, a part was defined twice, and news between routers were bare lists.

Change: plumline/prompts/parts.py has the part, its reading and the walk; plumline/prompts/news.py the messages. Public items there have their docstrings. test_choice and test_prompt_index import the moved names; their assertions are as they were.

--- a/plumline/prompts/index.py
+++ b/plumline/prompts/index.py
@@ -14,7 +14,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-Part = tuple[str, int]  # id, tokens
+from plumline.prompts.parts import Part, common_tokens, leading_tokens, size_of
+
 Serial = tuple[str, int]  # the router that placed a prompt, its count there
 
 ENDPOINT_SHARE = 0.7  # of an endpoint's memory that parts may take: running requests have the rest
@@ -29,6 +30,8 @@
 
 @dataclass(slots=True)
 class Placement:
+    """A long prompt at an endpoint, from its sending to its stream's end."""
+
     endpoint: str
     salt: str
     parts: list[Part]
@@ -46,6 +49,7 @@
     size: int = 0
 
     def add(self, salt: str, parts: Iterable[Part]) -> None:
+        """The parts have just been used; what no longer fits gives way."""
         for name, tokens in parts:
             key = (salt, name)
             self.size += tokens - self.parts.pop(key, 0)
@@ -54,13 +58,8 @@
             self.size -= self.parts.popitem(last=False)[1]
 
     def held(self, salt: str, parts: Iterable[Part]) -> int:
-        """Tokens at the prompt's start: a part counts if all before it are kept."""
-        total = 0
-        for name, tokens in parts:
-            if (salt, name) not in self.parts:
-                break
-            total += tokens
-        return total
+        """Tokens at the prompt's start that are kept here."""
+        return leading_tokens(parts, lambda part: (salt, part[0]) in self.parts)
 
 
 @dataclass(slots=True)
@@ -72,6 +71,7 @@
     saving: OrderedDict[tuple[str, str], float] = field(default_factory=OrderedDict)  # until when
 
     def clear(self) -> None:
+        """It is down, or has begun anew: it holds nothing."""
         self.parts.clear()
         self.saving.clear()
 
@@ -89,12 +89,13 @@
                 self.parts.pop(key, None)
 
     def held(self, salt: str, parts: Iterable[Part]) -> int:
-        total = 0
-        for name, tokens in parts:
-            if tokens >= TOLD_PART and self.parts.get((salt, name), 0) < tokens - BLOCK:
-                break
-            total += tokens
-        return total
+        """Tokens at the prompt's start that the store holds; parts that it doesn't tell of count as held."""
+        return leading_tokens(parts, lambda part: part[1] < TOLD_PART or self.holds(salt, part))
+
+    def holds(self, salt: str, part: Part) -> bool:
+        """Whether it has told that it holds the part, up to the last whole block."""
+        name, tokens = part
+        return self.parts.get((salt, name), 0) >= tokens - BLOCK
 
     def lacks(self, now: float, salt: str, parts: Sequence[Part]) -> bool:
         """Whether any of the parts is neither held nor on its way."""
@@ -103,20 +104,20 @@
             if until > now:
                 break
             del self.saving[key]
-        for name, tokens in parts:
-            key = (salt, name)
-            if tokens < TOLD_PART or key in self.saving:
-                continue
-            if self.parts.get(key, 0) < tokens - BLOCK:
-                return True
-        return False
+        return any(
+            part[1] >= TOLD_PART and (salt, part[0]) not in self.saving and not self.holds(salt, part)
+            for part in parts
+        )
 
     def sent(self, now: float, salt: str, parts: Iterable[Part]) -> None:
+        """The parts are on their way to it."""
         for name, _ in parts:
             self.saving[salt, name] = now + SAVING
 
 
 class PromptIndex:
+    """Where long prompts are being read and kept, by all that routers and stores tell."""
+
     def __init__(self, capacity_of: Callable[[str], float]) -> None:
         """`capacity_of(endpoint id)`: tokens of its memory; 0 where that is not known."""
         self.capacity_of = capacity_of
@@ -194,9 +195,11 @@
         self.keeps.pop(endpoint, None)
 
     def store(self, address: str) -> StoreContents:
+        """What is known of the store at the address, "ip:port"."""
         return self.stores.get(address) or self.stores.setdefault(address, StoreContents())
 
     def set_stores(self, addresses: Iterable[str]) -> None:
+        """What is known of other stores is forgotten."""
         known = set(addresses)
         self.stores = {address: each for address, each in self.stores.items() if address in known}
 
@@ -217,39 +220,21 @@
 
     def read_before(self, salt: str, parts: Iterable[Part]) -> int:
         """Tokens at the prompt's start that somebody has read: to read them again is waste."""
-        total = 0
-        for name, tokens in parts:
-            if (salt, name) not in self.seen:
-                break
-            total += tokens
-        return total
+        return leading_tokens(parts, lambda part: (salt, part[0]) in self.seen)
 
     def coming(self, endpoint: str, salt: str, parts: Sequence[Part]) -> int:
         """Tokens at the prompt's start that the endpoint keeps or is reading for another request."""
         best = self.kept(endpoint, salt, parts)
         for each in self.placements.values():
             if each.endpoint == endpoint and each.salt == salt:
-                best = max(best, common(each.parts, parts))
+                best = max(best, common_tokens(each.parts, parts))
         return best
 
 
-def size_of(parts: Iterable[Part]) -> int:
-    return sum(tokens for _, tokens in parts)
-
-
 def lower(sums: dict[str, float], key: str, by: float) -> None:
+    """Takes an amount off a sum; one that comes to nothing is dropped."""
     left = sums.get(key, 0.0) - by
     if left > 0.5:
         sums[key] = left
     else:
         sums.pop(key, None)
-
-
-def common(some: Sequence[Part], others: Sequence[Part]) -> int:
-    """Tokens of the parts that both begin with."""
-    total = 0
-    for one, other in zip(some, others, strict=False):
-        if one[0] != other[0]:
-            break
-        total += one[1]
-    return total
--- a/plumline/router/admission.py
+++ b/plumline/router/admission.py
@@ -3,11 +3,11 @@
 from dataclasses import dataclass
 
 from plumline.configuration.routes import Route, RouteTable, Tenant
+from plumline.prompts.parts import Part, output_tokens, parse_parts, prompt_tokens, size_of
 from plumline.router.relay import Headers, request_headers, value_of
 from plumline.router.state import RouterState
 from plumline.routing.choice import READ_RATE
 from plumline.routing.lanes import TOKEN_MS, is_long
-from plumline.routing.loads import Part, output_tokens, parse_parts, prompt_tokens
 from plumline.routing.shares import Standing, priority
 from plumline.wire.exchange import Exchange
 
@@ -17,6 +17,8 @@
 
 @dataclass(slots=True)
 class Prompt:
+    """What the head says of a request's prompt."""
+
     model: str  # empty: the request is for no model
     parts: list[Part]
     tokens: int  # to be read
@@ -44,6 +46,7 @@
 
     @property
     def owner(self) -> str:
+        """Whose share it is, see `owner_of`."""
         return owner_of(self.tenant)
 
     @property
@@ -62,8 +65,8 @@
 
 
 def admit(router: RouterState, exchange: Exchange, request_id: bytes | None) -> Request | Denial:
-    fleet = router.fleet
-    table = fleet.table
+    """The request, with all that its head says, or why it is not admitted."""
+    fleet, table = router.fleet, router.fleet.table
     if table is None:
         return Denial(503, "no-configuration", NOT_YET)
     if router.may_know_revoked_keys():
@@ -71,18 +74,12 @@
     route = table.match(exchange.host, exchange.path)
     if route is None:
         return denied(router, 404, "no-route")
-    tenant = None
-    keys = {value for name, value in exchange.headers if name == b"x-api-key"}
-    if len(keys) == 1:
-        tenant = table.tenant_of(next(iter(keys)).decode("latin-1").strip())
+    tenant = tenant_of(table, exchange.headers)
     if table.has_tenants and tenant is None and not route.public:
         return denied(router, 401, "no-tenant")
     now = router.clock()
     service = route.pick(router.chance)
     router.budget.request(now, service)
-    base = request_headers(exchange.headers)
-    if tenant:
-        base.append((b"tenant-name", tenant.name.encode()))
     prompt = read_prompt(exchange.headers, router.shortest_aims.get(service, route.aim_ms))
     ms = prompt.tokens / READ_RATE, prompt.work_ms
     standing = router.shares.ask(now, service, owner_of(tenant), ms, fleet.routers)
@@ -97,7 +94,7 @@
         route=route,
         tenant=tenant,
         service=service,
-        base=base,
+        base=base_headers(exchange.headers, tenant),
         until=exchange.began + min(told_time(exchange.headers), route.timeout_ms) / 1000,
         prompt=prompt,
         standing=standing,
@@ -106,6 +103,22 @@
     )
 
 
+def tenant_of(table: RouteTable, headers: Headers) -> Tenant | None:
+    """Whose key the request bears; None where it bears none that is known, or several."""
+    keys = {value for name, value in headers if name == b"x-api-key"}
+    if len(keys) != 1:
+        return None
+    return table.tenant_of(next(iter(keys)).decode("latin-1").strip())
+
+
+def base_headers(headers: Headers, tenant: Tenant | None) -> Headers:
+    """The client's headers that go on, and the tenant's name."""
+    base = request_headers(headers)
+    if tenant:
+        base.append((b"tenant-name", tenant.name.encode()))
+    return base
+
+
 def denied(router: RouterState, status: int, name: str) -> Denial:
     """A router that may not know the newest configuration doesn't say 4xx, which nobody repeats."""
     if router.fleet.fresh:
@@ -119,6 +132,7 @@
 
 
 def rank_of(route: Route, tenant: Tenant | None) -> int:
+    """How urgent it is, 0 first: the tenant's priority where it has one, else the route's."""
     told = tenant.priority if tenant else None
     return min(max(route.priority if told is None else told, 0), MOST_RANK)
 
@@ -132,11 +146,11 @@
 
 
 def read_prompt(headers: Headers, aim_ms: float) -> Prompt:
-    """`aim_ms`: the shortest aim of the service's routes."""
+    """The prompt as the headers tell it. `aim_ms`: the shortest aim of the service's routes."""
     model = (value_of(headers, b"model-name") or b"").decode("latin-1")
     prefix = value_of(headers, b"prompt-prefix")
     parts = parse_parts(prefix.decode("latin-1")) if model and prefix else []
     counts = (value_of(headers, b"token-counts") or b"").decode("latin-1")
-    tokens = max(prompt_tokens(counts), sum(tokens for _, tokens in parts))
+    tokens = max(prompt_tokens(counts), size_of(parts))
     long = is_long(tokens / READ_RATE, aim_ms)
     return Prompt(model, parts, tokens, output_tokens(counts) * TOKEN_MS, long)
--- a/plumline/routing/lanes.py
+++ b/plumline/routing/lanes.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 
 from plumline.coordination.ring import weight
-from plumline.routing.loads import Part
+from plumline.prompts.parts import Part
 
 LONG_SHARE = 1 / 8  # of the service's shortest aim: a prompt that takes longer to read is a long one
 TOKEN_MS = 0.2  # of an endpoint's time that one token put out takes in a batch
@@ -39,6 +39,7 @@
     since: float | None = None  # the first request
 
     def add(self, now: float, ms: float, long: bool) -> None:
+        """A request was sent that takes so many ms of an endpoint's time."""
         if self.since is None:
             self.since = now
         self.fade(now)
@@ -48,6 +49,7 @@
             self.short += ms
 
     def fade(self, now: float) -> None:
+        """Forgets of the work what is due by now."""
         share = math.exp(-max(now - self.at, 0.0) / MEMORY_S)
         self.short, self.long, self.at = self.short * share, self.long * share, now
 
@@ -70,6 +72,7 @@
     order: list[str] = field(default_factory=list)
 
     def set_endpoints(self, service: str, ids: Iterable[str]) -> None:
+        """Those that take requests, by id; all routers order them alike."""
         self.order = sorted(ids, key=lambda each: weight(service, each))
 
     def split(self) -> int:
@@ -102,4 +105,5 @@
 
 
 def is_long(read_ms: float, shortest_aim_ms: float) -> bool:
+    """Whether a prompt that takes so long to read is a long one, by the shortest aim of its service."""
     return read_ms > shortest_aim_ms * LONG_SHARE
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,10 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from plumline.prompts.parts import parse_parts, prompt_tokens
 from plumline.router.relay import EventJoiner, answer_headers, is_framed, request_headers
 from plumline.router.upstream import idle_time
 from plumline.routing.choice import Candidate, choose, cost, expected_ms
-from plumline.routing.loads import Affinity, Load, parse_parts, prompt_tokens
+from plumline.routing.loads import Affinity, Load
 from plumline.routing.outcomes import Outcomes
 from plumline.routing.salt import NamedVersions, salt_for
 
--- /dev/null
+++ b/tests/test_news.py
@@ -0,0 +1,33 @@
+"""What routers tell one another of prompts, as plain values."""
+
+import pytest
+
+from plumline.prompts.news import Done, Placed, Read, Stored, news_from
+
+
+def test_the_plain_values_of_each_kind_make_a_message() -> None:
+    told = ["placed", 3, "e1", "v1w0", [["system", 800], ["own", 30]], 30.0, "10.9.9.9:1"]
+    assert news_from(told) == Placed(3, "e1", "v1w0", [("system", 800), ("own", 30)], 30.0, "10.9.9.9:1")
+    assert news_from(["read", 3]) == Read(3)
+    assert news_from(["done", 3]) == Done(3)
+    assert news_from(["stored", 7, [["+", "v1w0", "system", 800]]]) == Stored(
+        7, [["+", "v1w0", "system", 800]]
+    )
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        None,
+        [],
+        ["moved", 1],
+        ["read"],
+        ["read", "3"],
+        ["placed", 3, "e1", "v1w0", [["system"]], 30.0, ""],
+        ["placed", 3, "e1", "v1w0", [], 30, ""],
+        ["stored", 7, {}],
+    ],
+)
+def test_what_is_no_news_is_refused(told: object) -> None:
+    with pytest.raises(ValueError):
+        news_from(told)
--- a/tests/test_prompt_index.py
+++ b/tests/test_prompt_index.py
@@ -14,8 +14,8 @@
     Keep,
     Placement,
     PromptIndex,
-    common,
 )
+from plumline.prompts.parts import common_tokens
 from plumline.routing.lanes import LEAST_S, MEMORY_S, SHORT_USE, Lanes, is_long
 from plumline.routing.sources import SETUP_MS, Holder, best_fetch
 
@@ -130,9 +130,9 @@
 
 
 def test_common_counts_the_parts_that_both_begin_with() -> None:
-    assert common(PARTS, PARTS) == 5100
-    assert common(PARTS, [("system", 800), ("other", 4000), ("own", 300)]) == 800
-    assert common(PARTS, []) == 0
+    assert common_tokens(PARTS, PARTS) == 5100
+    assert common_tokens(PARTS, [("system", 800), ("other", 4000), ("own", 300)]) == 800
+    assert common_tokens(PARTS, []) == 0
 
 
 def test_the_source_that_saves_most_is_taken_and_none_where_reading_is_faster() -> None:
