Split the choice of an endpoint and a router's state into short functions

Change: functions of one job; StoreStatus in place of the dict; no source is looked for where the shared tokens take no longer to read than a move's set-up, which no move could win. Behaviour stays.

--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -1,16 +1,18 @@
 """The choice of an endpoint for one request: who may be sent it, and what each would cost."""
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 
 from plumline.configuration.routes import Service
+from plumline.prompts.parts import size_of
 from plumline.router.admission import Request
 from plumline.router.progress import COME_BACK, Progress
 from plumline.router.state import RouterState, address_text
 from plumline.routing.choice import READ_RATE, Candidate, choose, expected_ms
-from plumline.routing.fleet import Endpoint
+from plumline.routing.fleet import Address, Endpoint
 from plumline.routing.lanes import AWAY_MS, SHORT_AWAY_MS
 from plumline.routing.salt import Salt, salt_for
-from plumline.routing.sources import Fetch, Holder, best_fetch
+from plumline.routing.sources import Fetch, Holder, best_fetch, may_gain
 
 LEAST_CONNECTIONS = 2  # to an endpoint, however many routers share its limit
 SILENCE_SHARE = 0.8  # of the silence that a client bears, in which a first piece must be expected
@@ -19,120 +21,116 @@
 
 @dataclass(slots=True)
 class Picked:
+    """An endpoint that may be sent the request, and what that would cost."""
+
     endpoint: Endpoint
     salt: Salt | None  # with its version; None: nothing may be shared
     candidate: Candidate
 
 
+@dataclass(slots=True)
+class Look:
+    """What holds for all endpoints during one choice."""
+
+    now: float
+    most_connections: int  # of this router to one endpoint
+    store: Service | None  # that keeps this prompt's shared parts
+    salts: dict[int, Salt] = field(default_factory=dict)  # by version of the weights
+    holders: dict[str, list[Holder]] = field(default_factory=dict)  # by salt
+
+
 class Selection:
     """One for a request, asked before each of its sends: its progress says what has been tried."""
 
     def __init__(self, router: RouterState, request: Request, progress: Progress) -> None:
         self.router, self.request, self.progress = router, request, progress
-        self.holders: dict[str, list[Holder]] = {}  # by salt, of the choice at hand
+        self.service: Service | None = request.table.services.get(request.service)
+        self.shared = request.prompt.parts[:-1]
+        self.shared_tokens = size_of(self.shared)
 
     def pick(self, now: float) -> tuple[Picked | None, float]:
         """The endpoint to send to; if there is none, s until one may be ready (infinite: not by waiting)."""
-        router, request, progress = self.router, self.request, self.progress
-        prompt, wait = request.prompt, float("inf")
-        endpoints = router.by_service.get(request.service, ())
-        service = request.table.services.get(request.service)
-        routers = max(router.fleet.routers, 1)
-        most = max(service.connection_limit // routers, LEAST_CONNECTIONS) if service else LEAST_CONNECTIONS
-        store = router.store_for(prompt.parts) if prompt.parts else None
-        if not progress.tried:
+        router = self.router
+        endpoints = router.by_service.get(self.request.service, ())
+        if not self.progress.tried:
             router.outcomes.asked([each.id for each in endpoints], max(len(endpoints), 1), now)
         router.index.age(now)
-        salts: dict[int, Salt] = {}
-        self.holders = {}
-        found: list[Candidate] = []
-        chosen: dict[str, tuple[Endpoint, Salt | None]] = {}
-        for each in endpoints:
-            key = each.id
-            if each.draining or each.moving or key in progress.tried or key in router.gone:
-                continue
-            if router.shunned.get(key, 0.0) > now:
-                wait = min(wait, router.shunned[key] - now)
-                continue
-            version = router.version_at(each, prompt.model) if prompt.model else None
-            if prompt.model and not router.versions.usable(prompt.model, version or 1, now):
-                continue
-            if (ready := router.outcomes.ready_in(key, now)) > 0:
+        look = self.look(now)
+        wait = math.inf
+        found: dict[str, Picked] = {}
+        for endpoint in endpoints:
+            if (ready := self.ready_in(endpoint, look)) > 0:
                 wait = min(wait, ready)
-                continue
-            if not router.pool.room(key, most, now):
-                continue
-            if prompt.long and service and service.kv_tokens:
-                room = service.kv_tokens * RESIDENT_SHARE - router.index.occupied(key)
-                if prompt.tokens > room and router.index.occupied(key):
-                    router.counters.add("request-memory-full")
-                    continue
-            salt = None
-            if version is not None:
-                salt = salts.get(version)
-                if salt is None:
-                    wall = router.fleet.state.wall if router.fleet.state else 0
-                    salt = salts[version] = salt_for(version, wall, request.isolated)
-            found.append(self.candidate(each, salt, service, store, now))
-            chosen[key] = (each, salt)
-        lanes = router.lanes.get(request.service)
-        if lanes and prompt.model:
-            if lanes.fleet == (0.0, 0.0):  # nobody told yet: as if all routers had what this one has
-                short, long = lanes.work.rates(now)
-                lanes.fleet = short * routers, long * routers
-            home = lanes.home(prompt.parts, prompt.long)
-            away = AWAY_MS if prompt.long else SHORT_AWAY_MS
-            for each in found:
-                each.astray_ms = lanes.astray_ms(each.id, prompt.long)
-                if home is not None and each.id != home:
-                    each.astray_ms += away
-        best = choose(found, router.chance)
+            elif not self.memory_is_full(endpoint):
+                salt = self.salt_at(endpoint, look)
+                found[endpoint.id] = Picked(endpoint, salt, self.candidate(endpoint, salt, look))
+        candidates = [each.candidate for each in found.values()]
+        self.add_lane_costs(candidates, now)
+        best = choose(candidates, router.chance)
         if best is None:
             return None, wait
-        if request.standing.over and expected_ms(best) > request.route.aim_ms and not progress.sends:
-            progress.over_share = True
-            return None, float("inf")
-        if prompt.long and (late := expected_ms(best) - self.patience_ms(now)) > 0:
-            # It would be given up before its first piece: the reading is spared, and it may come back.
-            router.counters.add("request-shed")
-            progress.come_back = min(max(late / 1000, COME_BACK[0]), COME_BACK[1])
+        if self.is_over_share(best):
+            return None, math.inf
+        if self.is_too_late(best, now):
             return None, wait
-        return Picked(*chosen[best.id], best), 0.0
+        return found[best.id], 0.0
 
-    def patience_ms(self, now: float) -> float:
-        """How long the client waits for the first piece: PROTOCOL's bound on silence, or what is left."""
-        route = self.request.route
-        silence = max(2000.0, 4 * route.aim_ms, 8 * route.gap_aim_ms)
-        return min(silence * SILENCE_SHARE, (self.request.until - now) * 1000)
+    def look(self, now: float) -> Look:
+        """What this choice needs to know once."""
+        router, parts = self.router, self.request.prompt.parts
+        most = LEAST_CONNECTIONS
+        if self.service:
+            most = max(self.service.connection_limit // max(router.fleet.routers, 1), most)
+        return Look(now, most, router.store_for(parts) if parts else None)
+
+    # Who may be sent it.
+
+    def ready_in(self, endpoint: Endpoint, look: Look) -> float:
+        """S until the endpoint may be sent the request; 0: now, infinite: not by waiting."""
+        router, key, model = self.router, endpoint.id, self.request.prompt.model
+        if endpoint.draining or endpoint.moving or key in self.progress.tried or key in router.gone:
+            return math.inf
+        if (shunned_until := router.shunned.get(key, 0.0)) > look.now:
+            return shunned_until - look.now
+        if model:
+            version = router.version_at(endpoint, model) or 1
+            if not router.versions.usable(model, version, look.now):
+                return math.inf
+        if (ready := router.outcomes.ready_in(key, look.now)) > 0:
+            return ready
+        return 0.0 if router.pool.room(key, look.most_connections, look.now) else math.inf
+
+    def memory_is_full(self, endpoint: Endpoint) -> bool:
+        """Whether a long prompt finds no room beside those that the endpoint has; an idle one takes any."""
+        prompt = self.request.prompt
+        if not prompt.long or not self.service or not self.service.kv_tokens:
+            return False
+        occupied = self.router.index.occupied(endpoint.id)
+        full = bool(occupied) and prompt.tokens > self.service.kv_tokens * RESIDENT_SHARE - occupied
+        if full:
+            self.router.counters.add("request-memory-full")
+        return full
 
-    def candidate(
-        self,
-        endpoint: Endpoint,
-        salt: Salt | None,
-        service: Service | None,
-        store: Service | None,
-        now: float,
-    ) -> Candidate:
+    def salt_at(self, endpoint: Endpoint, look: Look) -> Salt | None:
+        """The salt for the version of the weights there; None where that is not known."""
+        router, model = self.router, self.request.prompt.model
+        version = router.version_at(endpoint, model) if model else None
+        if version is None:
+            return None
+        salt = look.salts.get(version)
+        if salt is None:
+            wall = router.fleet.state.wall if router.fleet.state else 0
+            salt = look.salts[version] = salt_for(version, wall, self.request.isolated)
+        return salt
+
+    # What each would cost.
+
+    def candidate(self, endpoint: Endpoint, salt: Salt | None, look: Look) -> Candidate:
+        """The endpoint as this request sees it, but for the lanes."""
         router, prompt = self.router, self.request.prompt
         load = router.load(endpoint.id)
-        kept = 0
-        fetch: Fetch | None = None
-        if salt and prompt.parts:
-            if prompt.long:
-                kept = router.index.coming(endpoint.id, salt.text, prompt.parts)
-            else:
-                kept = router.affinity.kept(salt.text, prompt.parts, endpoint.id, now)
-            if service:
-                fetch = best_fetch(
-                    self.holders_of(salt, service, store),
-                    endpoint.address,
-                    endpoint.zone,
-                    kept,
-                    service.kv_token_bytes,
-                    service.link_mbps,
-                    READ_RATE,
-                    router.regions,
-                )
+        kept = self.kept_at(endpoint, salt, look.now)
+        fetch = self.fetch_to(endpoint, salt, kept, look)
         return Candidate(
             id=endpoint.id,
             unread=load.unread + router.index.backlog(endpoint.id),
@@ -141,35 +139,105 @@
             missing=max(prompt.tokens - kept, 0),
             movable=fetch.tokens if fetch else 0.0,
             moved_ms=fetch.ms if fetch else 0.0,
-            excess_ms=load.excess(now),
+            excess_ms=load.excess(look.now),
             same_zone=endpoint.zone == router.zone,
-            connected=router.pool.has_idle(endpoint.id, now),
+            connected=router.pool.has_idle(endpoint.id, look.now),
             source=fetch.source if fetch else None,
             again=self.read_again(salt, kept + (fetch.tokens if fetch else 0)),
         )
 
+    def kept_at(self, endpoint: Endpoint, salt: Salt | None, now: float) -> int:
+        """Tokens at the prompt's start that the endpoint likely keeps, or is reading already."""
+        router, prompt = self.router, self.request.prompt
+        if salt is None or not prompt.parts:
+            return 0
+        if prompt.long:
+            return router.index.coming(endpoint.id, salt.text, prompt.parts)
+        return router.affinity.kept(salt.text, prompt.parts, endpoint.id, now)
+
+    def fetch_to(self, endpoint: Endpoint, salt: Salt | None, kept: int, look: Look) -> Fetch | None:
+        """The best move of shared parts to the endpoint; None where none is faster than to read them."""
+        service = self.service
+        if salt is None or service is None or not may_gain(self.shared_tokens - kept, READ_RATE):
+            return None
+        return best_fetch(
+            self.holders_of(salt, service, look),
+            endpoint.address,
+            endpoint.zone,
+            kept,
+            service.kv_token_bytes,
+            service.link_mbps,
+            READ_RATE,
+            self.router.regions,
+        )
+
     def read_again(self, salt: Salt | None, spared: float) -> float:
-        prompt = self.request.prompt
-        if salt is None or not prompt.long:
+        """Tokens of shared parts that would be read though somebody has read them."""
+        if salt is None or not self.request.prompt.long:
             return 0.0
-        return max(self.router.index.read_before(salt.text, prompt.parts[:-1]) - spared, 0.0)
+        return max(self.router.index.read_before(salt.text, self.shared) - spared, 0.0)
 
-    def holders_of(self, salt: Salt, service: Service, store: Service | None) -> list[Holder]:
+    def holders_of(self, salt: Salt, service: Service, look: Look) -> list[Holder]:
         """Who is known to hold a beginning of this prompt's shared parts: endpoints and the store."""
-        if (found := self.holders.get(salt.text)) is not None:
-            return found
-        router, shared = self.router, self.request.prompt.parts[:-1]
-        found = self.holders[salt.text] = []
-        if not self.request.prompt.long:
-            seen = router.affinity.seen(salt.text, shared)
-            if store and store.store_address and seen:
-                found.append(Holder(store.store_address, store.store_zone, seen, store.link_mbps))
+        if (found := look.holders.get(salt.text)) is not None:
             return found
-        for each in router.by_service.get(self.request.service, ()):
-            if held := router.index.kept(each.id, salt.text, shared):
-                found.append(Holder(each.address, each.zone, held, service.link_mbps))
-        if store and store.store_address:
-            contents = router.index.store(address_text(store.store_address))
-            if held := contents.held(salt.text, shared):
-                found.append(Holder(store.store_address, store.store_zone, held, store.link_mbps))
+        found = look.holders[salt.text] = []
+        if self.request.prompt.long:
+            for each in self.router.by_service.get(self.request.service, ()):
+                if held := self.router.index.kept(each.id, salt.text, self.shared):
+                    found.append(Holder(each.address, each.zone, held, service.link_mbps))
+        store = look.store
+        if store and store.store_address and (held := self.held_by(store.store_address, salt)):
+            found.append(Holder(store.store_address, store.store_zone, held, store.link_mbps))
         return found
+
+    def held_by(self, store: Address, salt: Salt) -> int:
+        """Tokens at the prompt's start that the store holds; of short ones nobody tells."""
+        if self.request.prompt.long:
+            return self.router.index.store(address_text(store)).held(salt.text, self.shared)
+        return self.router.affinity.seen(salt.text, self.shared)
+
+    def add_lane_costs(self, candidates: list[Candidate], now: float) -> None:
+        """What sending the request to each costs the requests of its lane, or away from its home."""
+        router, prompt = self.router, self.request.prompt
+        lanes = router.lanes.get(self.request.service)
+        if not lanes or not prompt.model:
+            return
+        if lanes.fleet == (0.0, 0.0):  # nobody told yet: as if all routers had what this one has
+            routers = max(router.fleet.routers, 1)
+            short, long = lanes.work.rates(now)
+            lanes.fleet = short * routers, long * routers
+        home = lanes.home(prompt.parts, prompt.long)
+        away = AWAY_MS if prompt.long else SHORT_AWAY_MS
+        for each in candidates:
+            each.astray_ms = lanes.astray_ms(each.id, prompt.long)
+            if home is not None and each.id != home:
+                each.astray_ms += away
+
+    # Whether it is worth sending.
+
+    def is_over_share(self, best: Candidate) -> bool:
+        """Whether its tenant is over its share in a surge and it would be late even where it costs least."""
+        request = self.request
+        over = request.standing.over and expected_ms(best) > request.route.aim_ms and not self.progress.sends
+        if over:
+            self.progress.over_share = True
+        return over
+
+    def is_too_late(self, best: Candidate, now: float) -> bool:
+        """Whether a long prompt would be given up before its first piece: its reading is spared, and it may
+        come back."""
+        if not self.request.prompt.long:
+            return False
+        late_ms = expected_ms(best) - self.patience_ms(now)
+        if late_ms <= 0:
+            return False
+        self.router.counters.add("request-shed")
+        self.progress.come_back = min(max(late_ms / 1000, COME_BACK[0]), COME_BACK[1])
+        return True
+
+    def patience_ms(self, now: float) -> float:
+        """How long the client waits for the first piece: PROTOCOL's bound on silence, or what is left."""
+        route = self.request.route
+        silence = max(2000.0, 4 * route.aim_ms, 8 * route.gap_aim_ms)
+        return min(silence * SILENCE_SHARE, (self.request.until - now) * 1000)
--- a/plumline/router/state.py
+++ b/plumline/router/state.py
@@ -13,11 +13,13 @@
 from plumline.coordination.budget import RetryBudget
 from plumline.counters import Counters
 from plumline.prompts.index import Placement, PromptIndex
+from plumline.prompts.news import Done, Placed, Read, Stored, news_from
+from plumline.prompts.parts import Part
 from plumline.router.relay import Headers, value_of
 from plumline.router.upstream import Pool
-from plumline.routing.fleet import Address, Endpoint, Fleet
+from plumline.routing.fleet import Address, Endpoint, Fleet, StoreStatus
 from plumline.routing.lanes import Lanes
-from plumline.routing.loads import Affinity, Load, Part
+from plumline.routing.loads import Affinity, Load
 from plumline.routing.outcomes import Outcomes, store_key
 from plumline.routing.salt import NamedVersions
 from plumline.routing.shares import Shares
@@ -25,18 +27,36 @@
 
 CONNECT_TIMEOUT = 0.3  # s
 REVOCATION_SHARE = 0.8  # of RevocationMs: what a request takes on its way is left
-UP: dict[str, Any] = {"up": True}  # a store that nobody told of
+UNTOLD_STORE = StoreStatus(up=True, epoch=0)  # one that nobody told of
 
 log = logs.logger("dispatch")
 
 
 def address_text(address: Address) -> str:
+    """The address as "ip:port"."""
     return f"{address[0]}:{address[1]}"
 
 
 class Budget(Protocol):
-    def request(self, now: float, service: str) -> None: ...
-    def may_repeat(self, now: float, service: str, routers: int) -> bool: ...
+    """What bounds second sends, see `plumline.coordination.budget`."""
+
+    def request(self, now: float, service: str) -> None:
+        """A request for the service has come."""
+
+    def may_repeat(self, now: float, service: str, routers: int) -> bool:
+        """Whether one more send beyond the first is granted; if so, it counts as made."""
+
+
+def retry_budget(settings: Settings, now: float) -> RetryBudget:
+    """This router's share of the fleet's budget for second sends, by the settings' bounds."""
+    bounds = settings.bounds
+    return RetryBudget(
+        bounds.retry_budget_ratio,
+        bounds.retry_window_s,
+        bounds.retry_budget_slack,
+        now,
+        fresh_system=settings.first_start,
+    )
 
 
 class RouterState:
@@ -52,79 +72,87 @@
         *,
         budget: Budget | None = None,
     ) -> None:
-        self.zone, self.fleet, self.counters, self.clock = settings.zone, fleet, counters, clock
-        self.bounds = settings.bounds
-        self.chance = chance or random.Random()
         bounds = settings.bounds
-        self.budget: Budget = budget or RetryBudget(
-            bounds.retry_budget_ratio,
-            bounds.retry_window_s,
-            bounds.retry_budget_slack,
-            clock(),
-            fresh_system=settings.first_start,
-        )
+        self.bounds = bounds
+        self.fleet, self.counters, self.clock = fleet, counters, clock
+        self.node, self.zone, self.regions = settings.node_name, settings.zone, settings.zones
+        self.chance = chance or random.Random()
+        self.budget: Budget = budget or retry_budget(settings, clock())
         self.outcomes = Outcomes(lambda: self.fleet.routers, self.chance)
         self.pool = Pool(CONNECT_TIMEOUT)
         self.affinity = Affinity()
         self.index = PromptIndex(self.memory_of)
-        self.node, self.regions = settings.node_name, settings.zones
         self.serials = itertools.count(1)
         #: Tells the other routers of a prompt placed, read or ended; the process sets it.
         self.tell: Callable[[list[Any]], None] = lambda _: None
-        self.models: dict[str, dict[str, int]] = {}  # weights by endpoint id, as listed
-        self.stores: dict[str, dict[str, Any]] = {}  # what the core tells of stores, by name
-        self.loads: dict[str, Load] = {}
+        self.stores: dict[str, StoreStatus] = {}  # what the core tells of stores, by name
         self.versions = NamedVersions(self.told_versions, bounds.version_apply_ms / 1000)
-        self.learned: dict[str, dict[str, int]] = {}  # endpoint id -> {model: version} that its answers told
-        self.shunned: dict[str, float] = {}  # endpoint id -> until when
-        self.gone: set[str] = set()  # ids whose address answered for another incarnation
-        self.by_service: dict[str, list[Endpoint]] = {}
-        self.lanes: dict[str, Lanes] = {}
         self.shares = Shares(self.surge)
         self.shortest_aims: dict[str, float] = {}  # ms, by service
+        self.by_service: dict[str, list[Endpoint]] = {}
+        self.lanes: dict[str, Lanes] = {}  # by service
+        # By endpoint id:
+        self.models: dict[str, dict[str, int]] = {}  # weights, as listed
+        self.loads: dict[str, Load] = {}
+        self.learned: dict[str, dict[str, int]] = {}  # {model: version} that its answers told
+        self.shunned: dict[str, float] = {}  # until when
+        self.gone: set[str] = set()  # those whose address answered for another incarnation
         self.told("configuration")
         self.told("endpoints")
         fleet.watchers.append(self.told)
 
     def told_versions(self) -> dict[str, int] | None:
+        """The named version of each model's weights; None while no configuration is known."""
         return self.fleet.state.versions if self.fleet.state else None
 
     def told(self, topic: str) -> None:
         """The fleet's news."""
-        now = self.clock()
         if topic == "configuration":
-            self.versions.look(now)
-            self.shares.set_reserved(self.fleet.table.reserved if self.fleet.table else {})
-            self.shortest_aims = {}
-            for route in self.fleet.table.routes if self.fleet.table else ():
-                for service, _ in route.splits:
-                    known = self.shortest_aims.get(service, route.aim_ms)
-                    self.shortest_aims[service] = min(known, route.aim_ms)
+            self.told_configuration()
         elif topic == "stores":
             self.told_stores(self.fleet.stores)
         elif topic == "endpoints":
-            listed = self.fleet.endpoints
-            self.index.set_endpoints(listed)
-            for key, models in self.models.items():
-                if key in listed and listed[key].models != models:
-                    self.index.clear_endpoint(key)  # other weights: all that it kept is dropped
-            self.models = {key: each.models for key, each in listed.items()}
-            self.by_service = {}
-            for each in listed.values():
-                self.by_service.setdefault(each.service, []).append(each)
-            counts: dict[str, int] = {}
-            for service, at in self.by_service.items():
-                usable = [each.id for each in at if not (each.draining or each.moving)]
-                self.lanes.setdefault(service, Lanes()).set_endpoints(service, usable)
-                counts[service] = len(usable)
-            self.shares.set_endpoints(counts)
-            self.lanes = {name: each for name, each in self.lanes.items() if name in self.by_service}
-            self.pool.sweep(now, listed)
-            self.outcomes.age(listed, now)
-            self.gone &= listed.keys()
-            for known in (self.loads, self.learned, self.shunned):
-                for key in [key for key in known if key not in listed]:
-                    del known[key]
+            self.told_endpoints(self.fleet.endpoints)
+
+    def told_configuration(self) -> None:
+        """Another configuration is in force."""
+        table = self.fleet.table
+        self.versions.look(self.clock())
+        self.shares.set_reserved(table.reserved if table else {})
+        self.shortest_aims = {}
+        for route in table.routes if table else ():
+            for service, _ in route.splits:
+                known = self.shortest_aims.get(service, route.aim_ms)
+                self.shortest_aims[service] = min(known, route.aim_ms)
+
+    def told_endpoints(self, listed: dict[str, Endpoint]) -> None:
+        """The endpoints have changed: what is known of those that are gone is forgotten."""
+        now = self.clock()
+        self.index.set_endpoints(listed)
+        for key, models in self.models.items():
+            if key in listed and listed[key].models != models:
+                self.index.clear_endpoint(key)  # other weights: all that it kept is dropped
+        self.models = {key: each.models for key, each in listed.items()}
+        self.by_service = {}
+        for each in listed.values():
+            self.by_service.setdefault(each.service, []).append(each)
+        self.set_usable()
+        self.pool.sweep(now, listed)
+        self.outcomes.age(listed, now)
+        self.gone &= listed.keys()
+        for known in (self.loads, self.learned, self.shunned):
+            for key in [key for key in known if key not in listed]:
+                del known[key]
+
+    def set_usable(self) -> None:
+        """Lanes and shares reckon with the endpoints that take requests."""
+        counts: dict[str, int] = {}
+        for service, endpoints in self.by_service.items():
+            usable = [each.id for each in endpoints if not (each.draining or each.moving)]
+            self.lanes.setdefault(service, Lanes()).set_endpoints(service, usable)
+            counts[service] = len(usable)
+        self.shares.set_endpoints(counts)
+        self.lanes = {name: each for name, each in self.lanes.items() if name in self.by_service}
 
     def work_rates(self) -> dict[str, list[Any]]:
         """This router's work by service, for its heartbeats: [short, long] in ms a second, and what tenants
@@ -146,50 +174,44 @@
                 self.shares.take(self.clock(), name, demand[0])
 
     def surge(self, service: str, on: bool, times: float) -> None:
+        """A service's surge has begun or is over; `times`: the demand in multiples of what it can do."""
         log.info(logs.words("surge", service=service, on=on, demand=round(times, 2)))
 
-    def told_stores(self, stores: dict[str, dict[str, Any]]) -> None:
-        """{name: {"up": bool, "epoch": int}}: one that was down, or began anew, holds nothing any more."""
-        for name, each in stores.items():
+    def told_stores(self, stores: dict[str, StoreStatus]) -> None:
+        """By name: one that was down, or began anew, holds nothing any more."""
+        for name, status in stores.items():
             known = self.stores.get(name)
             service = self.fleet.table.services.get(name) if self.fleet.table else None
-            begun_anew = known is not None and (not each["up"] or each["epoch"] != known["epoch"])
-            if begun_anew and service and service.store_address:
+            began_anew = known is not None and (not status.up or status.epoch != known.epoch)
+            if began_anew and service and service.store_address:
                 self.index.store(address_text(service.store_address)).clear()
         self.stores = stores
 
     def memory_of(self, endpoint: str) -> float:
+        """Tokens of the endpoint's memory; 0 where that is not known."""
         listed = self.fleet.endpoints.get(endpoint)
         table = self.fleet.table
         service = table.services.get(listed.service) if listed and table else None
         return service.kv_tokens if service else 0.0
 
     def told_news(self, node: str, events: list[Any]) -> None:
-        """What another router tells of its prompts. Raises ValueError, TypeError for what is no news."""
+        """What another router tells of its prompts, or a registrar of the store at the address `node`. Raises
+        ValueError, TypeError for what is no news."""
         now = self.clock()
         for event in events:
-            match event:
-                case [
-                    "placed",
-                    int(number),
-                    str(endpoint),
-                    str(salt),
-                    list(told),
-                    float(missing),
-                    str(saves),
-                ]:
-                    parts = [(str(name), int(tokens)) for name, tokens in told]
-                    if endpoint in self.fleet.endpoints:
-                        placement = Placement(endpoint, salt, parts, missing, saves, now)
-                        self.index.placed((node, number), placement)
-                case ["read", int(number)]:
+            match news_from(event):
+                case Placed() as placed:
+                    if placed.endpoint in self.fleet.endpoints:
+                        placement = Placement(
+                            placed.endpoint, placed.salt, placed.parts, placed.missing, placed.saves, now
+                        )
+                        self.index.placed((node, placed.number), placement)
+                case Read(number):
                     self.index.read((node, number))
-                case ["done", int(number)]:
+                case Done(number):
                     self.index.done((node, number))
-                case ["stored", int(epoch), list(changes)]:
-                    self.index.store(node).changed(epoch, changes)  # by the store's address
-                case _:
-                    raise ValueError(f"no news: {event!r}")
+                case Stored(epoch, changes):
+                    self.index.store(node).changed(epoch, changes)
 
     def may_know_revoked_keys(self) -> bool:
         """Where revocation is closed, a router that has been out of touch for long takes no key any more."""
@@ -197,6 +219,7 @@
         return bounds.revocation_closed and since > bounds.revocation_ms / 1000 * REVOCATION_SHARE
 
     def load(self, key: str) -> Load:
+        """This router's load on the endpoint with this id."""
         return self.loads.get(key) or self.loads.setdefault(key, Load())
 
     def version_at(self, endpoint: Endpoint, model: str) -> int | None:
@@ -206,6 +229,7 @@
         return max(listed or 0, told or 0) or None
 
     def learn_version(self, endpoint: Endpoint, model: str, headers: Headers) -> None:
+        """Takes note of the version of the weights that an answer tells."""
         told = value_of(headers, b"versions")
         if model and told and told.isdigit() and len(told) < 10:
             # Only what was named: an endpoint with a version taken for another one would be of no use.
@@ -220,7 +244,7 @@
             name
             for name, each in stores.items()
             if each.store_address
-            and self.stores.get(name, UP)["up"]
+            and self.stores.get(name, UNTOLD_STORE).up
             and not self.outcomes.is_open(store_key(each.store_address))
         ]
         if len(up) > 1:
--- a/plumline/routing/fleet.py
+++ b/plumline/routing/fleet.py
@@ -33,7 +33,16 @@
     moving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class StoreStatus:
+    """What the core tells of a store. `epoch`: changes when it has begun anew, with nothing."""
+
+    up: bool
+    epoch: int
+
+
 def address_of(text: str) -> Address:
+    """The address that "ip:port" is. Raises ValueError for another text."""
     host, _, port = text.rpartition(":")
     return host, int(port)
 
@@ -72,7 +81,7 @@
         self.table: Any = None
         self.roster: list[dict[str, Any]] = []
         self.marks: dict[str, dict[str, Any]] = {}
-        self.stores: dict[str, dict[str, Any]] = {}  # name -> {"up": bool, "epoch": int}
+        self.stores: dict[str, StoreStatus] = {}  # by name
         self.endpoints: dict[str, Endpoint] = {}
         self.routers = 1  # alive in the fleet, this one included
         self.fresh_at = -1e9  # steady s at which `fresh` last held
@@ -85,19 +94,23 @@
         return self.state.versions.get(model, 1) if self.state else 1
 
     def tell(self, topic: str) -> None:
+        """Tells the watchers that this has changed."""
         for each in self.watchers:
             each(topic)
 
     def take_roster(self, roster: list[dict[str, Any]]) -> None:
+        """The platform's list has come, as the module says."""
         self.roster = roster
         self.endpoints = endpoints_from(self.roster, self.marks)
         self.tell("endpoints")
 
-    def take_stores(self, stores: dict[str, dict[str, Any]]) -> None:
-        self.stores = stores
+    def take_stores(self, stores: Mapping[str, Mapping[str, Any]]) -> None:
+        """What is known of the stores has come, as the module says. Raises KeyError for what is not so."""
+        self.stores = {name: StoreStatus(each["up"], each["epoch"]) for name, each in stores.items()}
         self.tell("stores")
 
     def take_marks(self, marks: dict[str, dict[str, Any]]) -> None:
+        """The marks have come, as the module says."""
         self.marks = marks
         self.endpoints = endpoints_from(self.roster, self.marks)
         self.tell("endpoints")
--- a/plumline/routing/sources.py
+++ b/plumline/routing/sources.py
@@ -22,17 +22,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Fetch:
+    """A move of the first tokens that an endpoint lacks, and how long it takes."""
+
     source: Address
     tokens: int
     ms: float
 
 
 def distance(zone: str, other: str, regions: dict[str, str]) -> int:
+    """How many times as long a move between the two zones takes as within one."""
     if zone == other:
         return 1
     return OTHER_ZONE if regions.get(zone) == regions.get(other) else OTHER_REGION
 
 
+def may_gain(tokens: float, read_rate: float) -> bool:
+    """Whether a move of so many tokens can be faster than to read them, however good the link is."""
+    return tokens / read_rate > SETUP_MS
+
+
 def best_fetch(
     holders: Sequence[Holder],
     address: Address,
