--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -151,7 +151,9 @@
     def receive(self, sender: str, message: Message) -> None:
         now = self.loop.time()
         try:
-            if self.core.on_message(now, sender, message) or self.operators.on_message(sender, message):
+            if self.core.on_message(now, sender, message):
+                return
+            if self.operators.relay.on_message(now, sender, message):
                 return
             match message:
                 case ["topic", str(name), [int(term), int(count)], payload]:
@@ -204,6 +206,9 @@
 
     def tell_topic(self, name: str, term: int, payload: Any) -> None:  # noqa: ANN401
         number = self.topics.next_number(name, term)
+        if number is None:
+            self.counters.add("topics.term-over")
+            return
         self.topics.offer(name, number, payload)
         self.feed.tell_topic(name)
         self.mesh.send_all(["topic", name, list(number), payload])
@@ -272,6 +277,7 @@
             if (changed := self.settings_file.changed(now)) is not None:
                 self.core.set_seeds(changed.seeds)
             self.core.tick(now)
+            self.operators.relay.tick(now)
             self.note_leases(now)
             if now >= beat_at:
                 beat_at = now + BEAT
--- a/plumline/router/send.py
+++ b/plumline/router/send.py
@@ -6,7 +6,17 @@
 
 from plumline.prompts.index import Placement
 from plumline.router.progress import COME_BACK, MARGIN, Proof
-from plumline.router.relay import EventJoiner, Headers, answer_headers, is_framed, value_of
+from plumline.router.relay import (
+    LONGEST_END,
+    EventJoiner,
+    EventUnplacedError,
+    Headers,
+    answer_headers,
+    ends_event,
+    is_event_stream,
+    is_framed,
+    value_of,
+)
 from plumline.router.selection import Picked, Selection
 from plumline.router.state import address_text
 from plumline.router.upstream import (
@@ -106,44 +116,69 @@
         return listed is not None and not listed.draining and not listed.moving
 
     async def run(self) -> Proof:
-        request, progress, router = self.request, self.progress, self.router
-        key = self.endpoint.id
-        connection = router.pool.take_idle(key, router.clock())
+        connection = self.sent_on_kept() or await self.sent_on_new()
         if connection is None:
-            try:
-                connection = await router.pool.connect(key, self.endpoint.address)
-            except UpstreamConnectError:
-                progress.connects += 1
-                progress.tried.add(key)
-                router.outcomes.failed(self.call, router.clock())
-                self.count("connect-failed")
-                return Proof.NOT_RUN
-            self.count("connected")
-        progress.connection = connection
-        if progress.gone or progress.expired or not self.still_there():
-            progress.connects += 1
             return Proof.NOT_RUN
+        try:
+            return await self.receive(connection)
+        except (UpstreamError, EventUnplacedError):
+            return self.broken()
+
+    def sent_on_kept(self) -> UpstreamConnection | None:
+        """The kept connection on which the request went out. One that had ended took nothing of it."""
+        if self.request.id is None:
+            return None  # nothing would tell its answer from one that came late for another request
+        router, progress = self.router, self.progress
+        while connection := router.pool.take_idle(self.endpoint.id, router.clock()):
+            if self.sent_on(connection):
+                return connection
+            progress.connection = None
+            router.pool.drop(self.endpoint.id, connection)
+            if progress.expired:
+                break
+        return None
+
+    async def sent_on_new(self) -> UpstreamConnection | None:
+        """The connection that was opened, with the request out on it; None if it did not go out."""
+        router, progress, key = self.router, self.progress, self.endpoint.id
+        if progress.expired:
+            return None
+        try:
+            connection = await router.pool.connect(key, self.endpoint.address)
+        except UpstreamConnectError:
+            progress.connects += 1
+            progress.tried.add(key)
+            router.outcomes.failed(self.call, router.clock())
+            self.count("connect-failed")
+            return None
+        self.count("connected")
+        progress.connection = connection
+        if not (progress.gone or progress.expired) and self.still_there() and self.sent_on(connection):
+            return connection
+        progress.connects += 1
+        return None
+
+    def sent_on(self, connection: UpstreamConnection) -> bool:
+        """Writes the request; False: surely no byte of it has left."""
+        request, progress, router = self.request, self.progress, self.router
+        progress.connection = connection
         self.began = router.clock()
         left = int((request.until - self.began - MARGIN) * 1000)
         if left <= 0:
             progress.expired = True
-            return Proof.NOT_RUN
+            return False
         try:
             connection.send(request.method, request.target, self.headers(left), request.exchange.body)
         except UpstreamUnsentError:
-            progress.connects += 1
             self.count("unsent")
-            return Proof.NOT_RUN
+            return False
         progress.sends += 1
         progress.granted = False
-        progress.tried.add(key)
+        progress.tried.add(self.endpoint.id)
         if self.salt:
-            router.affinity.sent(self.salt.text, request.prompt.parts, key, self.began)
+            router.affinity.sent(self.salt.text, request.prompt.parts, self.endpoint.id, self.began)
         self.place()
-        try:
-            return await self.receive(connection)
-        except UpstreamError:
-            return self.broken()
+        return True
 
     def headers(self, left: int) -> Headers:
         """Those that go with this send; salt and `Expect-Version` are one and the same version's."""
@@ -206,8 +241,7 @@
         response = await connection.event()
         assert isinstance(response, h11.Response)
         status, headers = response.status_code, list(response.headers)
-        told = value_of(headers, b"attempt-id")
-        if told != request.id and not (told is None and status == 421):
+        if not self.is_answered_by(connection, status, headers):
             return self.spoilt("surplus")
         if status == 421 or value_of(headers, b"not-executed") is not None:
             if (proof := self.turned_away(status, headers)) is not None:
@@ -217,18 +251,24 @@
         elif status in PROMISES:
             return self.spoilt("unproven")  # what it would promise isn't known
         router.learn_version(self.endpoint, request.prompt.model, headers)
-        if not is_framed(request.method, status, headers):
-            return self.spoilt("unframed")
         if 200 <= status < 300 and (
             value_of(headers, b"server-seal") is None or value_of(headers, b"content-encoding") is not None
         ):
             return self.spoilt("unsealed")
         if status >= 500 and request.route.idempotent and self.could_repeat():
             return self.spoilt("error")
-        if progress.started and status != 200:
+        if progress.started and not (status == 200 and is_event_stream(headers)):
             return self.spoilt("not-resumed")
         return await self.relay(connection, status, headers)
 
+    def is_answered_by(self, connection: UpstreamConnection, status: int, headers: Headers) -> bool:
+        """Whether the answer belongs to this request. One without an id may be a late answer to another
+        request wherever one came before; on a new connection it is what answers who sent no id, or a 421."""
+        told = {value for name, value in headers if name == b"attempt-id"}
+        if not told:
+            return not connection.used and (self.request.id is None or status == 421)
+        return told == {self.request.id}
+
     def turned_away(self, status: int, headers: Headers) -> Proof | None:
         """Surely not run. None: the client's own fault, which the endpoint's answer tells it."""
         request, progress, router = self.request, self.progress, self.router
@@ -244,7 +284,7 @@
             if self.salt is None or router.version_at(self.endpoint, model) == self.salt.version:
                 router.shunned[key] = now + SHUNNED
             return Proof.NOT_RUN
-        if status < 500 and status != 429:
+        if status < 500 and status not in PROMISES:
             return None if not progress.started else Proof.NOT_RUN
         self.count("turned-away")
         router.shares.ended(request.service, True)
@@ -262,23 +302,28 @@
         """The body as it comes. The head waits for the first piece: a break before that can be mended."""
         progress, exchange = self.progress, self.request.exchange
         if not progress.started:
-            stream = (value_of(headers, b"content-type") or b"").startswith(b"text/event-stream")
-            resumable = stream and status == 200 and self.request.route.resumable
+            resumable = is_event_stream(headers) and status == 200 and self.request.route.resumable
             progress.joiner = EventJoiner() if resumable else None
         joiner = progress.joiner
         if joiner:
             joiner.begin()
+        # An event stream without a length that stops within an event has broken off.
+        needs_end = is_event_stream(headers) and not is_framed(self.request.method, status, headers)
+        tail = b""
         while True:
             event = await connection.event()
             if isinstance(event, h11.Data):
                 if not self.wrote:
                     self.first_piece()
                 data = bytes(event.data)
+                tail = (tail + data)[-LONGEST_END:]
                 if joiner:
                     data = joiner.feed(data)
                 if not data:
                     continue
             elif isinstance(event, h11.EndOfMessage):
+                if needs_end and not ends_event(tail):
+                    raise UpstreamError("the stream ends within an event")
                 data = joiner.rest() if joiner else b""
             else:
                 raise UpstreamError("a head within an answer")
--- a/plumline/router/upstream.py
+++ b/plumline/router/upstream.py
@@ -1,7 +1,8 @@
 """The calling side of one HTTP/1.1 connection to an endpoint: h11 on an asyncio transport.
 
 A connection never sends anything twice by itself, never serves another incarnation than the one that it was
-opened for, and notices the peer's end at once, also while it is idle.
+opened for, and notices the peer's end at once, also while it is idle. An answer without a length ends with a
+connection that is closed; where that is reset, the answer is not complete.
 """
 
 import asyncio
@@ -10,6 +11,7 @@
 import h11
 
 from plumline.errors import PlumlineError
+from plumline.wire.sockets import has_unread
 
 Address = tuple[str, int]
 Headers = list[tuple[bytes, bytes]]
@@ -80,6 +82,8 @@
         self.wake()
 
     def eof_received(self) -> bool:
+        if self.busy and not self.ended:
+            self.codec.receive_data(b"")  # the end of an answer that tells no length
         self.end()
         return False
 
@@ -89,8 +93,6 @@
     def end(self) -> None:
         if not self.ended:
             self.ended = True
-            if self.busy:
-                self.codec.receive_data(b"")
             self.wake()
             if self.on_idle_end:
                 self.on_idle_end()
@@ -102,6 +104,10 @@
     def usable(self) -> bool:
         return not (self.ended or self.busy or self.transport is None or self.transport.is_closing())
 
+    def has_unread(self) -> bool:
+        """Whether the peer has ended the connection, or said something, that the loop has not read yet."""
+        return self.transport is not None and has_unread(self.transport)
+
     def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Writes a whole request at once. Raises UpstreamUnsentError if surely no byte of it left."""
         if not self.usable() or self.transport is None:
@@ -116,6 +122,8 @@
             raise UpstreamUnsentError(str(error)) from None
         self.busy = True
         self.transport.write(data)
+        if self.transport.is_closing():  # the first write failed: the system took no byte of it
+            raise UpstreamUnsentError("the connection had ended")
 
     async def event(self) -> h11.Response | h11.Data | h11.EndOfMessage:
         """The next event of the answer; interim answers are passed over. Raises UpstreamError."""
@@ -193,12 +201,13 @@
         return self.open.get(key, 0) < most or self.has_idle(key, now)
 
     def take_idle(self, key: str, now: float) -> UpstreamConnection | None:
-        """The most lately used kept connection; those that are over are closed on the way."""
+        """The most lately used kept connection; those that are over, or on which the peer has spoken, are
+        closed on the way."""
         kept = self.idle.get(key, [])
         while kept:
             connection = kept.pop()
             connection.on_idle_end = None
-            if connection.usable() and connection.kept_until > now:
+            if connection.usable() and connection.kept_until > now and not connection.has_unread():
                 return connection
             self.drop(key, connection)
         return None
