Split the tests of the request path by concern

Change: the stand-ins go to tests/dispatch_world.py, tests of how answers, streams and connections end to test_dispatch_answers.py.

--- a/tests/test_answer_matching.py
+++ b/tests/test_answer_matching.py
@@ -8,11 +8,11 @@
 
 import h11
 import pytest
-from test_dispatch import Act, Peer, answer, document, made, stream, unchunked, within
 
 from plumline.errors import PlumlineError
 from plumline.router.relay import EventJoiner, EventUnplacedError
 from plumline.router.upstream import Pool, UpstreamConnection, UpstreamError, UpstreamUnsentError
+from tests.dispatch_world import Act, Peer, answer, document, made, stream, unchunked, within
 
 STREAM_HEADERS = b"Content-Type: text/event-stream\r\n"
 
--- a/tests/test_reserved_share.py
+++ b/tests/test_reserved_share.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 import pytest
-from test_dispatch import FULL, MODEL, Peer, Router, answer, document, made, within
 
 from plumline.configuration import document as configurations
 from plumline.configuration.routes import RouteTable
@@ -18,6 +17,7 @@
 from plumline.lab.engine import Engine, Shape
 from plumline.registrar.feeding import Feed, Follower
 from plumline.routing.shares import CALM, Standing
+from tests.dispatch_world import FULL, MODEL, Peer, Router, answer, document, made, within
 
 TENANTS = [
     {"Name": "library", "ApiKeys": ["key-l"], "Priority": 2, "ReservedShare": 0.3},
