--- a/plumline/breaker/breaker.py
+++ b/plumline/breaker/breaker.py
@@ -97,6 +97,7 @@
         return max(self.wait_until, self.last_sent + max(self.gap, self.cold_gap(now)))
 
     def state(self, now: int) -> str:
+        """For people: what it counts and when the next call may go."""
         told = {
             "gap": max(self.gap, 0.0),
             "cold gap": self.cold_gap(now),
@@ -125,6 +126,7 @@
         return min(min(self.span / self.calls, self.told_gap) / push, 2 * self.most_gap)
 
     def overdue_at(self, call: TimedCall) -> float:
+        """When the call has taken longer than its destination usually does."""
         return call.sent + self.patience()
 
     def patience(self) -> float:
@@ -134,12 +136,15 @@
     def failed(
         self, now: int, weight: float = 1, run: float = FAILURE_THRESHOLD, error: bool = False
     ) -> None:
+        """A call failed. `weight`: in the count that opens the breaker; `run`: how many unserved calls in a
+        row may be an outage; `error`: it was answered, though wrongly."""
         self.failures += weight
         self.restart(now)
         self.sick += (1 - self.sick) * MEMORY
         self.doubt(now, run, error)
 
     def refused(self, now: int, call: TimedCall, wait: int) -> None:
+        """A call was refused as the destination is full or shut; `wait`: us that it told, or 0."""
         if call is self.trial:
             self.restart(now)
         if call.sent >= self.gap_changed:  # calls sent before the gap last grew say nothing of it
@@ -178,6 +183,7 @@
         self.doubting = False
 
     def served(self, now: int, call: TimedCall) -> None:
+        """A call was answered well: closes the breaker, and lets go of the gap."""
         if self.doubting:
             self.end_doubt(now, call)
         took = now - call.sent
--- a/plumline/breaker/interface.py
+++ b/plumline/breaker/interface.py
@@ -13,6 +13,8 @@
 
 
 class BreakerSettings(Protocol):
+    """What a breaker's owner knows of the destinations and of those who share them."""
+
     @property
     def fleet_size(self) -> int:
         """How many share the destinations, this one included; 1 or more."""
@@ -35,6 +37,8 @@
 
 
 class TimedCall(Protocol):
+    """A call that is out."""
+
     @property
     def sent(self) -> int:
         """When it went, us."""
--- a/plumline/breaker/plain.py
+++ b/plumline/breaker/plain.py
@@ -5,6 +5,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PlainAim:
+    """The one class of calls of such an owner."""
+
     aim: int  # us
 
 
@@ -31,4 +33,5 @@
 
     @property
     def classes(self) -> tuple[PlainAim, ...]:
+        """One class, with the least aim."""
         return (PlainAim(self.least_aim_us),)
--- a/plumline/cli.py
+++ b/plumline/cli.py
@@ -41,6 +41,7 @@
 
 
 def run_role(role: str) -> None:
+    """Runs the role until it ends; ends the program if its settings or its store are at fault."""
     from plumline import settings
 
     try:
@@ -58,6 +59,7 @@
 
 
 def stop(error: PlumlineError, status: int) -> NoReturn:
+    """Prints the error and ends the program with the status."""
     click.echo(f"{error.code}: {error.text}", err=True)
     sys.exit(status)
 
@@ -127,6 +129,8 @@
 
 
 class AddressType(click.ParamType):
+    """An IP:PORT on the command line."""
+
     name = "IP:PORT"
 
     def convert(
@@ -135,6 +139,7 @@
         param: click.Parameter | None,
         ctx: click.Context | None,
     ) -> Address:
+        """The address as a pair; a fault of usage for another text."""
         from plumline.configuration import ADDRESS, address
 
         found = value if isinstance(value, tuple) else address(value)
@@ -260,6 +265,7 @@
     patience: float,
     as_json: bool,
 ) -> None:
+    """Checks a file, sends it as a change and prints what came of it; ends the program."""
     from plumline.operator_calls import told
     from plumline.wire.calls import BASED_ON_VERSION
 
@@ -285,6 +291,7 @@
     body: Any,  # noqa: ANN401
     patience: float,
 ) -> "Answer":
+    """One call to the first registrar that settles it; ends the program if none does."""
     from plumline.operator_calls import settle
 
     try:
--- a/plumline/lab/__init__.py
+++ b/plumline/lab/__init__.py
@@ -44,6 +44,7 @@
         self.speed, self.clock = speed, clock
 
     async def wait(self, ms: float) -> None:
+        """Waits for so many of the model's ms."""
         await asyncio.sleep(max(0.0, ms) / 1000 / self.speed)
 
 
@@ -72,18 +73,22 @@
         self._peer.send(h11.Response(status_code=status, headers=list(headers)))
 
     def piece(self, data: bytes) -> None:
+        """A chunk of the body of an answer that has begun."""
         self._peer.send(h11.Data(data=data))
 
     def end(self) -> None:
+        """Ends the answer."""
         self._peer.send(h11.EndOfMessage())
 
     def answer(self, status: int, body: bytes = b"", headers: Headers = ()) -> None:
+        """A whole answer."""
         self.head(status, [*headers, ("Content-Length", str(len(body)))])
         if body:
             self.piece(body)
         self.end()
 
     def answer_json(self, status: int, what: Any) -> None:  # noqa: ANN401
+        """A whole answer whose body is the value as JSON."""
         self.answer(status, json.dumps(what, separators=(",", ":")).encode(), [JSON])
 
     def raw(self, data: bytes) -> None:
@@ -91,6 +96,7 @@
         self._peer.transport.write(data)
 
     def reset(self) -> None:
+        """Resets the connection, in the middle of an answer or before it."""
         self._peer.transport.abort()
 
 
@@ -175,9 +181,11 @@
 
     @property
     def address(self) -> str:
+        """Where it listens, as "ip:port"."""
         return f"{self.host}:{self.port}"
 
     async def start(self) -> None:
+        """Listens; the port is known from then on."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: _Peer(self), self.host, self.port)
         self.port = self._server.sockets[0].getsockname()[1]
@@ -211,9 +219,11 @@
             raise GarbledAnswerError("bytes after the answer")
 
     async def body(self) -> bytes:
+        """The whole body; errors as for `data`."""
         return b"".join([piece async for piece in self.data()])
 
     async def json(self) -> Any:  # noqa: ANN401
+        """The whole body read as JSON; errors as for `data`, and ValueError."""
         return json.loads(await self.body())
 
 
--- a/plumline/lab/engine.py
+++ b/plumline/lab/engine.py
@@ -103,10 +103,12 @@
 
 
 def body_hash(body: bytes) -> str:
+    """What an endpoint puts into each event, so that a body that was changed is seen."""
     return hashlib.sha256(body).hexdigest()[:16]
 
 
 def number_of(text: str | None, default: int) -> int:
+    """The whole number that the text is, else the default."""
     return int(text) if text and text.strip().isdigit() else default
 
 
@@ -152,9 +154,11 @@
         self.running: list[_Job] = []
 
     async def start(self) -> None:
+        """Listens for calls."""
         await self.server.start()
 
     async def stop(self) -> None:
+        """Ends all calls and orders under way, and the listening."""
         for task in list(self._tasks):
             task.cancel()
         await self.server.stop()
@@ -167,12 +171,15 @@
         await self.start()
 
     def inject(self, fault: Fault, times: int = 1) -> None:
+        """The next requests meet the fault, so many times."""
         self.faults.extend([fault] * times)
 
     def hold(self) -> None:
+        """Stops all streams before their next event."""
         self._flow.clear()
 
     def go_on(self) -> None:
+        """Lets the streams that `hold` stopped go on."""
         self._flow.set()
 
     async def until(self, true: Callable[[], bool]) -> None:
@@ -373,57 +380,65 @@
         self._changed()
 
     async def _serve(self, job: _Job, tokens: int, out_tokens: int, fault: Fault | None) -> None:
-        call, model, headers = job.call, job.model, job.call.headers
-        version, tenant = self.models[model], headers.get("tenant-name", "")
+        call, headers = job.call, job.call.headers
+        version = self.models[job.model]
         salt, parts = headers.get("cache-salt", ""), parts_from(headers.get("prompt-prefix", ""))
         if "kv-fetch" in headers:
-            await self._fetch_parts(headers["kv-fetch"], salt, model, parts)
-        found = self.kept.prefix(salt, model, parts)
-        missing = max(0, tokens - sum(part.tokens for _, part in found))
-        seal = f"{self.id[2:]}.{next(self.number)}"
-        resumed_from = number_of(headers.get("last-event-id"), 0)
-        run = Run(
-            headers["attempt-id"],
-            tenant,
-            version,
-            salt,
-            body_hash(call.body),
-            call.method,
-            call.target,
-            model,
-            self.id,
-            self.shape.service,
-            seal,
-            resumed_from,
-            tuple((part.tenant, part.version) for _, part in found),
-            "x-api-key" in headers,
-            missing,
-        )
-        self.runs.append(run)
-        self._changed()
+            await self._fetch_parts(headers["kv-fetch"], salt, job.model, parts)
+        found = self.kept.prefix(salt, job.model, parts)
+        run = self._begin_run(job, version, salt, [part for _, part in found], tokens)
         if fault is Fault.SILENCE:
             await asyncio.get_running_loop().create_future()
         if fault is Fault.RESET_AFTER:
             return call.reset()
-        await self.read(job.priority, missing)
-        made = [(name, Part(size, tenant, version)) for name, size in parts[len(found) :]]
-        if self.models[model] == version:
-            for name, part in made:
-                self.kept.put((salt, model, name), part)
-        if "kv-save" in headers and made:
-            await self._move_tokens(sum(part.tokens for _, part in made))
-            await push(headers["kv-save"], salt, model, made)
+        await self.read(job.priority, run.missing)
+        made = [(name, Part(size, run.tenant, run.version)) for name, size in parts[len(found) :]]
+        await self._keep_parts(run, made, headers.get("kv-save"))
         given = "0" * 16 if fault is Fault.WRONG_ID else run.id
-        head = [("Attempt-Id", given), ("Server-Seal", seal), ("Versions", str(version))]
+        head = [("Attempt-Id", given), ("Server-Seal", run.seal), ("Versions", str(run.version))]
         if self.draining:
             head.append(("Connection", "close"))
         if fault is Fault.FAIL:
             return call.answer(500, b"", head)
         call.head(200, [*head, ("Content-Type", "text/event-stream")])
-        await self._stream(job, run, missing, out_tokens, fault)
+        await self._stream(job, run, run.missing, out_tokens, fault)
         if fault is Fault.SURPLUS:
-            lines = ["HTTP/1.1 200 OK", f"Attempt-Id: {run.id}", f"Server-Seal: {seal}", "Content-Length: 5"]
-            call.raw("\r\n".join([*lines, "", "stray"]).encode())
+            lines = ["HTTP/1.1 200 OK", f"Attempt-Id: {run.id}", f"Server-Seal: {run.seal}"]
+            call.raw("\r\n".join([*lines, "Content-Length: 5", "", "stray"]).encode())
+
+    def _begin_run(self, job: _Job, version: int, salt: str, found: list[Part], tokens: int) -> Run:
+        """Notes that a request runs from now on. `found`: the parts kept here; `tokens`: of its prompt."""
+        call, headers = job.call, job.call.headers
+        run = Run(
+            id=headers["attempt-id"],
+            tenant=headers.get("tenant-name", ""),
+            version=version,
+            salt=salt,
+            body_hash=body_hash(call.body),
+            method=call.method,
+            target=call.target,
+            model=job.model,
+            instance=self.id,
+            service=self.shape.service,
+            seal=f"{self.id[2:]}.{next(self.number)}",
+            resumed_from=number_of(headers.get("last-event-id"), 0),
+            reused=tuple((part.tenant, part.version) for part in found),
+            key_shown="x-api-key" in headers,
+            missing=max(0, tokens - sum(part.tokens for part in found)),
+        )
+        self.runs.append(run)
+        self._changed()
+        return run
+
+    async def _keep_parts(self, run: Run, made: list[tuple[str, Part]], store: str | None) -> None:
+        """Keeps the parts that the run has read, unless the weights have changed, and saves them to the
+        store at the address, if one is named."""
+        if self.models[run.model] == run.version:
+            for name, part in made:
+                self.kept.put((run.salt, run.model, name), part)
+        if store is not None and made:
+            await self._move_tokens(sum(part.tokens for _, part in made))
+            await push(store, run.salt, run.model, made)
 
     async def read(self, priority: int, tokens: int) -> None:
         """The time that reading them takes, with the wait for it."""
--- a/plumline/lab/flood.py
+++ b/plumline/lab/flood.py
@@ -51,6 +51,7 @@
 
 
 def kind(name: str, tenant: str, rate: float, prompt: int, out: int) -> Class:
+    """A kind of request of one tenant, `rate` a second."""
     return Class(
         name,
         HOST,
@@ -65,6 +66,7 @@
 
 
 def victims() -> list[Class]:
+    """The requests of the two tenants that have a reserved share."""
     return [
         kind("catalog-check", "library", 3.0, 500, 8),
         kind("renew-ask", "library", 4.0, 1200, 24),
@@ -74,6 +76,7 @@
 
 
 def flooder(times: float) -> Class:
+    """The third tenant's, at so many times its usual rate; hardly two share a part."""
     each = kind("flood", FLOODER, USUAL_RATE * times, 4400, 24)
     return Class(**({name: getattr(each, name) for name in Class.__slots__} | {"subjects": 1 << 30}))
 
@@ -97,17 +100,21 @@
 
 @dataclass(slots=True)
 class Comparison:
+    """The same flood without and with reserved shares. `bound`: on the victims' share in time."""
+
     without: Outcome
     with_share: Outcome
     bound: float
 
     @property
     def good(self) -> bool:
+        """With the shares, each kind of the victims' requests kept the bound and no rule broke."""
         each = self.with_share
         well = not each.breaches and not each.twice and not any(each.exits.values())
         return well and all(each.in_time([name]) >= self.bound for name in victim_names())
 
     def parts(self) -> dict[str, Any]:
+        """All of it as plain values."""
         runs = {"without": self.without, "with": self.with_share}
         return {"good": self.good, "bound": self.bound} | {
             key: {
@@ -122,6 +129,7 @@
         }
 
     def text(self) -> str:
+        """All of it as text, one line a kind of request."""
         lines = [f"{'in time':>16}  {'without':>8}  {'with':>8}"]
         for name in [*victim_names(), "flood"]:
             before, after = self.without.in_time([name]), self.with_share.in_time([name])
@@ -136,6 +144,7 @@
 
 
 def victim_names() -> list[str]:
+    """The names of the victims' kinds of request."""
     return [each.name for each in victims()]
 
 
--- a/plumline/lab/local.py
+++ b/plumline/lab/local.py
@@ -51,6 +51,13 @@
     "VersionApplyMs": 8000,
     "VersionEverywhereMs": 0,
 }
+LIMITS: dict[str, Any] = {
+    "ProcessorShare": 1.0,
+    "ProcessorCores": 1,
+    "MemoryMb": 300,
+    "FileDescriptors": 4096,
+    "LinkSpeedMbps": 1000.0,
+}
 CONTRACTS = ["base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants"]
 
 
@@ -156,11 +163,6 @@
     """The settings of one process, as a table for `toml_text`. `platform`: its "ip:port"."""
     core = [each for each in machines if each.role == "registrar"]
     router = machine.role == "router"
-    listen = (
-        {"FrontHttp": f"{machine.host}:{ports.front}", "Readiness": f"{machine.host}:{ports.readiness}"}
-        if router
-        else {"ControlPlane": f"{machine.host}:{ports.control}"}
-    )
     return {
         "NodeName": machine.name,
         "Role": machine.role,
@@ -179,21 +181,24 @@
         "HeartbeatIntervalMs": 1200,
         "Contracts": CONTRACTS,
         "Zones": {"zone-a": "region", "zone-b": "region"},
-        "ListenAddresses": listen,
-        "Limits": {
-            "ProcessorShare": 1.0,
-            "ProcessorCores": 1,
-            "MemoryMb": 300,
-            "FileDescriptors": 4096,
-            "LinkSpeedMbps": 1000.0,
-            "DiskMb": 0 if router else 128,
-        },
+        "ListenAddresses": listen_addresses(machine, ports),
+        "Limits": LIMITS | {"DiskMb": 0 if router else 128},
         "FaultTolerance": {"MachineLosses": (len(core) - 1) // 2, "Zones": 0, "RegionLosses": 0},
         "Bounds": BOUNDS,
         "CloudApi": {"Address": platform, "RatePerS": 47.0, "Duties": [], "LagMs": 300},
     }
 
 
+def listen_addresses(machine: Machine, ports: Ports) -> dict[str, str]:
+    """Where the machine's role is called from outside."""
+    if machine.role == "router":
+        return {
+            "FrontHttp": f"{machine.host}:{ports.front}",
+            "Readiness": f"{machine.host}:{ports.readiness}",
+        }
+    return {"ControlPlane": f"{machine.host}:{ports.control}"}
+
+
 def configuration_for(version: int, store: str, slots: int = 4) -> dict[str, Any]:
     """A configuration with a resumable and a plain streaming route, one service, a store, two tenants."""
     route = {"Host": "lab.example", "Kind": "streaming", "TimeoutMs": 6000, "TargetLatencyMs": 600}
@@ -252,9 +257,11 @@
 
     @property
     def log(self) -> Path:
+        """The file that its output goes to."""
         return self.directory / f"{self.machine.name}.log"
 
     async def start(self, settings: Mapping[str, Any]) -> None:
+        """Writes the settings and starts the process with them."""
         path = self.directory / f"{self.machine.name}.toml"
         path.write_text(toml_text(settings))
         if "DataDirectory" in settings:
--- a/plumline/lab/operator.py
+++ b/plumline/lab/operator.py
@@ -30,6 +30,7 @@
 
     @property
     def taken(self) -> bool:
+        """Whether the call was answered with success."""
         return 200 <= self.status < 300
 
 
@@ -47,12 +48,15 @@
         self.addresses, self.patience, self.pause, self.clock = list(addresses), patience, pause, clock
 
     async def replace(self, document: dict[str, Any], based_on: int) -> Verdict:
+        """Puts a whole configuration in place of the version it is based on."""
         return await self._change("/Configuration.Replace", document, based_on)
 
     async def amend(self, document: dict[str, Any], based_on: int) -> Verdict:
+        """Changes items by name, on top of the version it is based on."""
         return await self._change("/Configuration.Amend", document, based_on)
 
     async def version_put(self, model: str, version: int) -> Verdict:
+        """Names a new version of a model's weights."""
         body = json.dumps({"Model": model, "Version": version}).encode()
         return await self.settle("POST", "/version-put", [JSON], body)
 
--- a/plumline/lab/platform.py
+++ b/plumline/lab/platform.py
@@ -40,6 +40,7 @@
         self.refresh()
 
     def drain(self, name: str) -> None:
+        """It is to end: stays listed, as `draining`."""
         self._states[name] = "draining"
         self.refresh()
 
--- a/plumline/lab/store.py
+++ b/plumline/lab/store.py
@@ -68,6 +68,7 @@
         return found
 
     def shrink(self) -> None:
+        """Drops the parts unused longest until the rest fits."""
         while self.parts and self.total + self.taken > self.capacity:
             self._drop(next(iter(self.parts)))
 
@@ -77,6 +78,7 @@
             self._drop(key)
 
     def restart(self) -> None:
+        """Nothing is kept any more, and the epoch is a new one."""
         self.parts.clear()
         self.events.clear()
         self.total = self.taken = self.number = 0
@@ -186,4 +188,5 @@
         await handler(call)
 
     def restart(self) -> None:
+        """It loses all that it kept."""
         self.kept.restart()
--- a/plumline/routing/outcomes.py
+++ b/plumline/routing/outcomes.py
@@ -16,10 +16,12 @@
 
 
 def micros(seconds: float) -> int:
+    """Seconds as whole microseconds, the breaker's unit."""
     return int(seconds * 1_000_000)
 
 
 def store_key(address: tuple[str, int]) -> str:
+    """The key of the store at the address, among the endpoints' ids."""
     return f"store:{address[0]}:{address[1]}"
 
 
@@ -47,6 +49,7 @@
         self.used: dict[str, float] = {}
 
     def breaker(self, key: str, now: float) -> Breaker:
+        """The destination's breaker, made at its first use."""
         breaker = self.breakers.get(key)
         if breaker is None:
             settings = PlainSettings(max(self.least_aim(), 1), fleet_size=max(self.routers(), 1))
@@ -63,6 +66,7 @@
         return at if math.isinf(at) else max(at / 1e6 - now, 0.0)
 
     def is_open(self, key: str) -> bool:
+        """Whether so many calls failed in a row that only a trial may go."""
         breaker = self.breakers.get(key)
         return breaker is not None and breaker.failures >= FAILURE_THRESHOLD
 
@@ -83,6 +87,7 @@
         return call
 
     def settle(self, call: Call) -> bool:
+        """True the first time; what is told of a call after that says nothing new."""
         if call.settled:
             return False
         call.settled = True
@@ -90,6 +95,7 @@
         return True
 
     def served(self, call: Call, now: float) -> None:
+        """The call was answered well."""
         if self.settle(call):
             call.breaker.served(micros(now), call)
 
--- a/plumline/routing/salt.py
+++ b/plumline/routing/salt.py
@@ -13,6 +13,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Salt:
+    """A text for `Cache-Salt` and the version of the weights that it is for."""
+
     text: str
     version: int
 
--- a/plumline/routing/shares.py
+++ b/plumline/routing/shares.py
@@ -122,6 +122,7 @@
         return self.of(now)
 
     def of(self, now: float) -> float:
+        """The rate by now, in ms a second."""
         if not self.since:
             return 0.0
         known = max(now - self.since, LEAST_S)
@@ -164,6 +165,7 @@
 
     @property
     def refused(self) -> bool:
+        """Whether it is refused at once: over its share, and the surge isn't slight."""
         return self.over and self.surge >= SLIGHT
 
 
@@ -300,6 +302,7 @@
             at.strain += (strained - at.strain) * STRAIN_WEIGHT
 
     def tell(self, now: float, service: str, at: ServiceShares) -> None:
+        """Tells the news of a surge that began, or has been over for long enough."""
         if at.surge and service not in self.on:
             self.on.add(service)
             self.news(service, True, at.surge)
