Type the differences of configurations; share the reckoning of a router's retry budget

Change: Difference; one call with its redirects is a function of its own; both use retry_budget.

test_cli's assertion on a difference reads the same fields as attributes.

--- a/plumline/cli.py
+++ b/plumline/cli.py
@@ -229,6 +229,8 @@
 @AS_JSON
 def configuration_diff(path: str, addresses: tuple[Address, ...], patience: float, as_json: bool) -> None:
     """What a `replace` by FILE would change; exit 0: nothing, 1: something. Keys of tenants stay hidden."""
+    import dataclasses
+
     from plumline.checks import whole_document
     from plumline.operator_calls import differences, shown
 
@@ -238,10 +240,11 @@
         stop(error, EXIT_FAULTS)
     found = list(differences(present(addresses, patience), wanted))
     if as_json:
-        click.echo(json.dumps({"same": not found, "changes": found}))
+        changes = [dataclasses.asdict(each) for each in found]
+        click.echo(json.dumps({"same": not found, "changes": changes}))
     else:
         for each in found:
-            click.echo(f"{each['key']}: {shown(each['before'])} -> {shown(each['after'])}")
+            click.echo(f"{each.key}: {shown(each.before)} -> {shown(each.after)}")
     sys.exit(EXIT_FAULTS if found else 0)
 
 
--- a/plumline/counters.py
+++ b/plumline/counters.py
@@ -4,6 +4,8 @@
 
 
 class Counters:
+    """Counts by name, from 0 at the start of the process."""
+
     __slots__ = ("_counts", "_told")
 
     def __init__(self) -> None:
@@ -11,9 +13,11 @@
         self._told: dict[str, int] = {}
 
     def add(self, name: str, n: int = 1) -> None:
+        """Counts `n` more."""
         self._counts[name] = self._counts.get(name, 0) + n
 
     def get(self, name: str) -> int:
+        """The count; 0 if nothing was counted."""
         return self._counts.get(name, 0)
 
     def under(self, group: str) -> MutableMapping[str, int]:
@@ -21,6 +25,7 @@
         return CounterGroup(self._counts, f"{group}.")
 
     def snapshot(self) -> dict[str, int]:
+        """All counts as they are now."""
         return dict(self._counts)
 
     def lines(self) -> list[str]:
--- a/plumline/operator_calls.py
+++ b/plumline/operator_calls.py
@@ -4,6 +4,7 @@
 import json
 import re
 from collections.abc import Awaitable, Callable, Iterator
+from dataclasses import dataclass
 from typing import Any
 
 from plumline.configuration import address as as_address
@@ -40,19 +41,10 @@
     """
     loop, caller = asyncio.get_running_loop(), Caller()
     ends, refusals, tries, last = loop.time() + patience_s, 0, 0, "none"
-    silence_s = SILENCE_S + (len(json.dumps(body)) / 1e6 if body is not None else 0.0)
     try:
         while True:
-            address, path = addresses[tries % len(addresses)], ""
             try:
-                for _ in range(REDIRECTS + 1):
-                    answer = await caller.call(
-                        call, address, headers=headers, body=body, path=path, timeout_s=silence_s
-                    )
-                    place = redirected(answer)
-                    if place is None:
-                        break
-                    address, path = place
+                answer = await ask(caller, addresses[tries % len(addresses)], call, headers, body)
             except CallFailedError as error:
                 last = error.text
             else:
@@ -69,6 +61,25 @@
         caller.close()
 
 
+async def ask(
+    caller: Caller,
+    address: Address,
+    call: str,
+    headers: dict[str, str] | None,
+    body: Any,  # noqa: ANN401
+) -> Answer:
+    """One call to one address, and on to where it redirects. Errors: CallFailedError."""
+    silence_s = SILENCE_S + (len(json.dumps(body)) / 1e6 if body is not None else 0.0)
+    path = ""
+    for _ in range(REDIRECTS + 1):
+        answer = await caller.call(call, address, headers=headers, body=body, path=path, timeout_s=silence_s)
+        place = redirected(answer)
+        if place is None:
+            break
+        address, path = place
+    return answer
+
+
 def redirected(answer: Answer) -> tuple[Address, str] | None:
     """Address and path that a 307 names."""
     found = re.fullmatch(r"http://([^/]+)(/.*)", answer.headers.get("location", ""))
@@ -91,8 +102,17 @@
     ]
 
 
-def differences(before: dict[str, Any], after: dict[str, Any]) -> Iterator[dict[str, Any]]:
-    """Changed fields as {"key", "before", "after"}; null stands for what is not there."""
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """A field that two configurations have otherwise; null stands for what is not there."""
+
+    key: str
+    before: Any
+    after: Any
+
+
+def differences(before: dict[str, Any], after: dict[str, Any]) -> Iterator[Difference]:
+    """Every changed field, with the number of keys in place of the keys."""
     named = set(listed_sections(before)) & set(listed_sections(after))
     for key in dict.fromkeys([*before, *after]):
         old, new = before.get(key), after.get(key)
@@ -103,19 +123,20 @@
         elif isinstance(old, dict) and isinstance(new, dict):
             yield from item_differences(key, old, new)
         elif old != new:
-            yield {"key": key, "before": hidden(old), "after": hidden(new)}
+            yield Difference(key, hidden(old), hidden(new))
 
 
-def item_differences(key: str, old: Any, new: Any) -> Iterator[dict[str, Any]]:  # noqa: ANN401
+def item_differences(key: str, old: Any, new: Any) -> Iterator[Difference]:  # noqa: ANN401
+    """Every changed field of one item, or the item as a whole where one side hasn't got it."""
     if old is None or new is None:
-        yield {"key": key, "before": hidden(old), "after": hidden(new)}
+        yield Difference(key, hidden(old), hidden(new))
         return
     for field in dict.fromkeys([*old, *new]):
         if old.get(field) != new.get(field):
             before, after = (hidden({field: each.get(field)})[field] for each in (old, new))
             if field == "ApiKeys" and old.get(field) and new.get(field):
                 after += f", {len(set(new[field]) - set(old[field]))} of them new"
-            yield {"key": f"{key}.{field}", "before": before, "after": after}
+            yield Difference(f"{key}.{field}", before, after)
 
 
 def hidden(value: Any) -> Any:  # noqa: ANN401
@@ -131,4 +152,5 @@
 
 
 def shown(value: Any) -> str:  # noqa: ANN401
+    """The value as text for people."""
     return "nothing" if value is None else json.dumps(value)
--- a/plumline/router/app.py
+++ b/plumline/router/app.py
@@ -4,12 +4,12 @@
 import signal
 
 from plumline import logs
-from plumline.coordination.budget import RetryBudget
 from plumline.counters import Counters
 from plumline.router.dispatch import Dispatcher
 from plumline.router.following import Follower
 from plumline.router.ingress import Lifecycle
 from plumline.router.readiness import Readiness
+from plumline.router.state import retry_budget
 from plumline.routing.fleet import Fleet
 from plumline.settings import Settings, SettingsFile
 from plumline.wire.server import FixedLimits, Server
@@ -22,19 +22,15 @@
 
 
 class Router:
+    """One process of the data plane."""
+
     def __init__(self, settings: Settings, file: SettingsFile | None = None) -> None:
         self.settings, self.file = settings, file or SettingsFile(None)
         self.loop = asyncio.get_running_loop()
         self.counters, self.fleet = Counters(), Fleet()
         self.follower = Follower(settings, self.fleet, self.counters, self.file)
         bounds = settings.bounds
-        self.budget = RetryBudget(
-            bounds.retry_budget_ratio,
-            bounds.retry_window_s,
-            bounds.retry_budget_slack,
-            self.loop.time(),
-            fresh_system=settings.first_start,
-        )
+        self.budget = retry_budget(settings, self.loop.time())
         self.dispatcher = Dispatcher(settings, self.fleet, self.counters, self.loop.time, budget=self.budget)
         self.dispatcher.tell = self.follower.tell
         self.follower.work = self.dispatcher.work_rates
@@ -50,9 +46,11 @@
         self.readiness = Readiness(self.lifecycle.ready)
 
     def equipped(self) -> bool:
+        """Whether a configuration and a list of endpoints are known."""
         return self.fleet.table is not None and bool(self.fleet.endpoints)
 
     async def summarise(self) -> None:
+        """Logs now and then which counters have changed."""
         while True:
             await asyncio.sleep(SUMMARY)
             for line in self.counters.lines():
@@ -82,4 +80,5 @@
 
 
 async def run(settings: Settings, file: SettingsFile | None = None) -> None:
+    """Runs a router until SIGTERM."""
     await Router(settings, file).run()
--- a/plumline/router/ingress.py
+++ b/plumline/router/ingress.py
@@ -13,6 +13,8 @@
 
 
 class Phase(Enum):
+    """How far a router's life has come."""
+
     STARTING = "starting"
     READY = "ready"
     DRAINING = "draining"
@@ -32,6 +34,7 @@
         self.asked = asyncio.Event()
 
     def ready(self) -> bool:
+        """Whether it may be given new connections; the first time it may, it is ready from then on."""
         if self.phase is Phase.STARTING and self.equipped():
             self.phase = Phase.READY
         return self.phase is Phase.READY
--- a/plumline/router/progress.py
+++ b/plumline/router/progress.py
@@ -38,6 +38,7 @@
     connection: UpstreamConnection | None = None  # of the send under way
 
     def may_send(self, route: Route) -> bool:
+        """Whether one more send is allowed, by its route and by what the sends before it proved."""
         if self.sends >= route.attempt_limit or self.connects >= MOST_CONNECTS:
             return False
         if self.started and not (self.joiner and self.joiner.may_join()):
--- a/plumline/router/readiness.py
+++ b/plumline/router/readiness.py
@@ -20,6 +20,7 @@
         await self.server.listen(address)
 
     def answer(self, exchange: Exchange) -> None:
+        """Answers one question of the platform."""
         if exchange.path != "/readiness":
             exchange.respond(404)
         elif exchange.method not in ("GET", "HEAD"):
@@ -28,4 +29,5 @@
             exchange.respond(200 if self.ready() else 503)
 
     def end(self) -> None:
+        """Closes the port and what is open."""
         self.server.end()
--- a/plumline/settings.py
+++ b/plumline/settings.py
@@ -34,6 +34,8 @@
 
 @dataclass(frozen=True, slots=True)
 class MachineLimits:
+    """What the process may take of its machine."""
+
     processor_share: float = 1.0
     processor_cores: float = 1
     memory_mb: float = 300
@@ -74,6 +76,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
+    """The settings of one process."""
+
     node_name: str
     ip_address: str
     internal_ports: tuple[int, int]  # first and last, both free
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -323,8 +323,8 @@
 def test_a_key_exchanged_for_another_is_a_difference() -> None:
     before, after = ({"Tenants": [{"Name": "t", "ApiKeys": [key]}]} for key in ("a", "b"))
     (found,) = operator_calls.differences(before, after)
-    assert found["key"] == "Tenants[t].ApiKeys" and found["before"] != found["after"]
-    assert "a" not in (found["before"], found["after"])
+    assert found.key == "Tenants[t].ApiKeys" and found.before != found.after
+    assert "a" not in (found.before, found.after)
 
 
 # --- the lab
