Send large frames compressed and in pieces, with small ones between them

Cause: a whole configuration went as one frame. At 5 Mbit/s it held up beats for seconds, so its source was taken for silent and left in the middle; and nothing was packed small.

Small messages pass between pieces; entries of the chain keep their order. What one link holds back is bounded, and its owner is told when all is taken.

--- a/plumline/wire/mesh.py
+++ b/plumline/wire/mesh.py
@@ -14,6 +14,7 @@
 
 CONNECT_S = 0.5  # s for a connection to come up
 AGAIN_S = 0.25  # s, at about, until the next try
+ORDERED = frozenset({"chain-entry", "chain-lesson"})  # kinds that are of use only after those sent before
 
 Receive = Callable[[str, list[Any]], None]  # address of the sender, message
 
@@ -110,7 +111,7 @@
         if to == self.me:
             self.loop.call_soon(self.receive, self.me, message)
         elif link := self.links.get(to):
-            link.send(message)
+            link.send(message, ordered=message[0] in ORDERED)
 
     def send_all(self, message: list[Any]) -> None:
         if self.links:
--- /dev/null
+++ b/tests/test_frames.py
@@ -0,0 +1,220 @@
+"""Frames: compression, pieces of large bodies with small messages between them, and what is no frame."""
+
+import asyncio
+import random
+import zlib
+from typing import Any
+
+import ormsgpack
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plumline.counters import Counters
+from plumline.errors import FrameError
+from plumline.wire import frames
+from plumline.wire.frames import FrameLink, Outgoing, Unpacker, framed, hello, pack
+
+SECONDS_OF_LINK = 0.05  # between two looks of a transport that a test plays
+LINK_BYTES_PER_S = 625_000  # 5 Mbit/s
+BEAT_S = 0.4
+
+
+def noise(length: int, seed: int = 1) -> bytes:
+    """Bytes that don't compress."""
+    return random.Random(seed).randbytes(length)
+
+
+class ThinTransport(asyncio.Transport):
+    """Takes what is written and passes it on at the rate of a thin link, as a test lets time go by."""
+
+    def __init__(self, protocol: asyncio.Protocol) -> None:
+        super().__init__()
+        self.protocol, self.buffer, self.high = protocol, bytearray(), 64 * 1024
+        self.paused = self.aborted = False
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        self.high = high or self.high
+
+    def get_write_buffer_size(self) -> int:
+        return len(self.buffer)
+
+    def is_closing(self) -> bool:
+        return self.aborted
+
+    def abort(self) -> None:
+        self.aborted = True
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        self.buffer += data
+        if len(self.buffer) > self.high and not self.paused:
+            self.paused = True
+            self.protocol.pause_writing()
+
+    def carry(self, length: int) -> bytes:
+        """What the link takes next."""
+        data = bytes(self.buffer[:length])
+        del self.buffer[:length]
+        if self.paused and len(self.buffer) <= self.high // 4:
+            self.paused = False
+            self.protocol.resume_writing()
+        return data
+
+
+def sender() -> tuple[FrameLink, ThinTransport, Counters]:
+    counters = Counters()
+
+    def nothing(*_: object) -> None:
+        pass
+
+    link = FrameLink(hello("n", "registrar", "a:1", "z"), nothing, nothing, nothing, counters)
+    transport = ThinTransport(link)
+    link.connection_made(transport)
+    return link, transport, counters
+
+
+def test_beats_pass_between_the_pieces_of_a_state_on_a_thin_link() -> None:
+    async def play() -> None:
+        link, transport, _ = sender()
+        received, found = Unpacker(), []
+        state = ["state", 7, noise(4_000_000)]
+        link.send(state)
+        now, beat_at = 0.0, 0.0
+        while not any(message[0] == "state" for _, message in found):
+            if now >= beat_at:
+                link.send(["beat", now])
+                beat_at = now + BEAT_S
+            data = transport.carry(int(LINK_BYTES_PER_S * SECONDS_OF_LINK))
+            now += SECONDS_OF_LINK
+            found += [(now, message) for message in received.feed(data)]
+        assert now > 6  # it takes long, and each beat comes all the same
+        late = [at - message[1] for at, message in found if message[0] == "beat"]
+        assert len(late) > now / BEAT_S - 1
+        most = (frames.WRITE_BUFFER + 2 * frames.PIECE_BYTES) / LINK_BYTES_PER_S
+        assert max(late) < most + 2 * SECONDS_OF_LINK
+        assert found[-1][1] == state
+        assert received.parts > 200
+
+    asyncio.run(play())
+
+
+def test_what_waits_in_the_transport_is_bounded_and_the_owner_is_told_when_all_is_taken() -> None:
+    async def play() -> None:
+        link, transport, _ = sender()
+        drained = []
+        link.on_drained = drained.append
+        link.send(["state", 7, noise(1_000_000)])
+        link.send(["entry", 8, []], ordered=True)
+        received, found, most = Unpacker(), [], 0
+        while transport.buffer:
+            assert link.busy or not link.waiting
+            assert not (drained and link.busy)
+            most = max(most, len(transport.buffer))
+            found += received.feed(transport.carry(10_000))
+        assert [message[0] for message in found] == ["hello", "state", "entry"]
+        assert most <= frames.WRITE_BUFFER + frames.PIECE_BYTES + 64
+        assert drained == [link] and not link.busy
+
+    asyncio.run(play())
+
+
+def test_a_message_that_is_not_ordered_passes_those_that_wait() -> None:
+    async def play() -> None:
+        link, transport, _ = sender()
+        link.send(["state", 7, noise(200_000)])
+        link.send(["entry", 8, []], ordered=True)
+        link.send(["beat"])
+        found = Unpacker().feed(transport.carry(10_000_000))
+        assert [message[0] for message in found] == ["hello", "beat"]
+
+    asyncio.run(play())
+
+
+def test_a_peer_that_reads_nothing_is_cut_off() -> None:
+    async def play() -> None:
+        link, transport, counters = sender()
+        for _ in range(4):
+            link.send(["state", 7, noise(7_000_000)])
+        assert transport.aborted
+        assert counters.get("frames.peer-does-not-read") == 1
+
+    asyncio.run(play())
+
+
+def test_a_whole_configuration_shrinks_to_a_tenth() -> None:
+    routes = [
+        {"Name": f"r{at}", "Host": "h.example", "PathPrefix": f"/p{at}/", "Service": "s", "TimeoutMs": 3000}
+        for at in range(4000)
+    ]
+    message = ["state", 7, {"configuration": {"Version": 1, "Routes": routes}}]
+    data = pack(message)
+    assert len(data) < len(ormsgpack.packb(message)) / 10
+    assert Unpacker().feed(data) == [message]
+
+
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**63)
+    | st.text(max_size=300)
+    | st.binary(max_size=9000),
+    lambda inner: st.lists(inner, max_size=4),
+    max_leaves=12,
+)
+MESSAGES = st.lists(
+    st.lists(VALUES, max_size=4).map(lambda fields: ["entry", *fields]) | st.just(["beat"]), max_size=8
+)
+
+
+@given(MESSAGES, st.integers(1, 5000), st.randoms(use_true_random=False))
+def test_whatever_the_cuts_the_messages_come_whole_and_in_order(
+    messages: list[list[Any]], most: int, chance: random.Random
+) -> None:
+    data = bytearray()
+    for message in messages:
+        frame = Outgoing(pack(message) if chance.random() < 0.5 else framed(ormsgpack.packb(message)))
+        while frame.left():
+            data += frame.next_frame()
+    received, found = Unpacker(), []
+    while data:
+        cut = chance.randint(1, most)
+        found += received.feed(bytes(data[:cut]))
+        del data[:cut]
+    assert found == messages
+
+
+def bomb(size: int, told: int) -> bytes:
+    return framed(ormsgpack.packb(["packed", told, zlib.compress(bytes(size), 9)]))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        bomb(100_000_000, frames.LARGEST),
+        bomb(1000, 999),
+        bomb(1000, 1001),
+        framed(ormsgpack.packb(["packed", 100, b"no zlib"])),
+        framed(ormsgpack.packb(["packed", "100", b""])),
+        framed(ormsgpack.packb(["packed", 100])),
+        framed(ormsgpack.packb(["piece", 1, b"x"])),
+        framed(ormsgpack.packb(["piece", False, "x"])),
+        framed(ormsgpack.packb(["piece", False, ormsgpack.packb(["piece", False, b"x"])])),
+        framed(ormsgpack.packb(["piece", False, ormsgpack.packb(7)])),
+        (frames.LARGEST + 1).to_bytes(4, "big"),
+        framed(ormsgpack.packb({"no": "array"})),
+        framed(ormsgpack.packb([])),
+        framed(b"\xc1"),
+    ],
+)
+def test_what_is_no_frame_is_refused(data: bytes) -> None:
+    with pytest.raises(FrameError):
+        Unpacker().feed(data)
+
+
+def test_pieces_of_more_than_the_largest_body_are_refused() -> None:
+    received = Unpacker()
+    piece = framed(ormsgpack.packb(["piece", True, bytes(1024 * 1024)]))
+    with pytest.raises(FrameError):
+        for _ in range(frames.LARGEST // (1024 * 1024) + 1):
+            received.feed(piece)
+    assert len(received.pieces) <= frames.LARGEST
