--- a/plumline/configuration/routes.py
+++ b/plumline/configuration/routes.py
@@ -90,12 +90,8 @@
     """Look-ups in one document. `earlier`, the table before it, lends the routes whose items are the same."""
 
     def __init__(self, document: Document, earlier: "RouteTable | None" = None) -> None:
-        self.version: int = document["Version"]
-        self.limits = limits_from(document.get("Limits") or {})
-        self.services = {item["Name"]: service_from(item) for item in document.get("Services", ())}
         self._made: dict[str, tuple[Document, Route]] = {}
         self._hosts: dict[str, _Host] = {}
-        self._keys: dict[str, Tenant] = {}
         old = earlier._made if earlier else {}
         for item in document.get("Routes", ()):
             made = old.get(item["Name"])
@@ -106,6 +102,48 @@
             host = self._hosts.setdefault(route.host, _Host())
             host.prefixes[route.prefix] = route
             host.longest = max(host.longest, len(route.prefix))
+        self._take_rest(document)
+
+    def amended(self, document: Document, body: Document) -> "RouteTable":
+        """The table of `document`, which an Amend with this body has made of this table's document.
+
+        What is left of the routes is shared, so that one changed route of thousands costs little.
+        """
+        table = RouteTable.__new__(RouteTable)
+        table._made, table._hosts = dict(self._made), dict(self._hosts)
+        items: list[Document] = body.get("Upserts", {}).get("Routes", [])
+        gone = body.get("Removals", {}).get("Routes", [])
+        touched: dict[str, _Host] = {}  # hosts as the new table's own
+        for name in [*gone, *(item["Name"] for item in items)]:
+            if (made := self._made.get(name)) is not None:
+                table._own_host(made[1].host, touched).prefixes.pop(made[1].prefix, None)
+        for name in gone:
+            table._made.pop(name, None)
+        for item in items:
+            route = route_from(item)
+            table._made[route.name] = (item, route)
+            table._own_host(route.host, touched).prefixes[route.prefix] = route
+        for name, host in touched.items():
+            host.longest = max(map(len, host.prefixes), default=0)
+            if not host.prefixes:
+                del table._hosts[name]
+        table._take_rest(document)
+        return table
+
+    def _own_host(self, name: str, touched: dict[str, _Host]) -> _Host:
+        """The host, copied when it is first touched."""
+        host = touched.get(name)
+        if host is None:
+            shared = self._hosts.get(name)
+            host = touched[name] = self._hosts[name] = _Host(dict(shared.prefixes) if shared else {})
+        return host
+
+    def _take_rest(self, document: Document) -> None:
+        """All that is small, made anew for each document."""
+        self.version: int = document["Version"]
+        self.limits = limits_from(document.get("Limits") or {})
+        self.services = {item["Name"]: service_from(item) for item in document.get("Services", ())}
+        self._keys: dict[str, Tenant] = {}
         self.has_tenants = bool(document.get("Tenants"))
         self.reserved: dict[str, float] = {}  # shares by tenant, of those that have one
         for item in document.get("Tenants", ()):
