Feed entries from one source, shortest first, and nobody before it is caught up

Cause: each change went to a router from both of its sources; whoever fell behind got a tail of any length; a source that sent a large frame counted as silent, and the next one was asked for the same again; a registrar fed also while it was cut off; a router that began served by the first of several entries.

Only a fresh registrar feeds. Pieces count as a word heard.

--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -88,7 +88,13 @@
             changed=self.view_changed,
             known_elsewhere=lambda: self.feed.told_place > 0,
         )
-        self.feed = Feed(self.core.chain, self.topics, self.counters, settings.heartbeat_interval_ms / 1000)
+        self.feed = Feed(
+            self.core.chain,
+            self.topics,
+            self.counters,
+            settings.heartbeat_interval_ms / 1000,
+            may_feed=lambda: self.core.fresh(self.loop.time()),
+        )
         if settings.data_directory is not None:
             self.writer = DurableWriter(self.file, self.loop, self.image)
             self.persist(["incarnation", incarnation], self.known.set)
--- a/plumline/registrar/feeding.py
+++ b/plumline/registrar/feeding.py
@@ -1,13 +1,22 @@
-"""The feed to routers: a numbered history of changes from a place on, soft topics, and beats."""
+"""The feed to routers: a numbered history of changes from a place on, soft topics, and beats.
+
+Entries go to the followers that have chosen this registrar as their primary. A follower that has not taken
+yet what it was sent gets no more of them: once it has, it gets all that it lacks, as entries or as one
+snapshot, whichever is shorter. Nothing is sent to it while this registrar may not know the newest.
+"""
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
+from plumline.configuration.difference import as_amend
+from plumline.configuration.document import Document
 from plumline.coordination.chain import Chain
 from plumline.coordination.topics import Topics
 from plumline.counters import Counters
 from plumline.errors import FrameError
+from plumline.registrar.history import History
 from plumline.routing.shares import summed
 from plumline.wire.frames import FrameLink, pack
 
@@ -27,30 +36,47 @@
 
 @dataclass(slots=True)
 class Follower:
+    """A router on its link."""
+
     link: FrameLink
     node: str
-    place: int = -1  # number of the newest entry it was sent; -1: it has not asked yet
+    place: int = -1  # number of the newest entry it has or was sent; -1: it has not said yet
     heard: float = 0.0
     work: Work = field(default_factory=dict)
-    primary: bool = False  # takes its news of prompts from here
+    primary: bool = False  # takes entries, and news of prompts, from here
 
 
 class Feed:
     """Routers that follow this registrar. They are also those that it watches: `alive` names them."""
 
-    def __init__(self, chain: Chain, topics: Topics, counters: Counters, heartbeat_s: float) -> None:
-        self.chain, self.topics, self.counters = chain, topics, counters
+    def __init__(
+        self,
+        chain: Chain,
+        topics: Topics,
+        counters: Counters,
+        heartbeat_s: float,
+        may_feed: Callable[[], bool] = lambda: True,
+    ) -> None:
+        """`may_feed`: whether this registrar surely knows the newest entries."""
+        self.chain, self.topics, self.counters, self.may_feed = chain, topics, counters, may_feed
         self.patience = SILENT_HEARTBEATS * heartbeat_s
         self.followers: dict[FrameLink, Follower] = {}
         self.told_place = 0  # the highest that a follower has had from anyone
+        self.history = History(lambda: (chain.committed, chain.state))
+        self.configuration: tuple[int, Document | None] = (-1, None)  # after the entry of that number
 
     def came(self, link: FrameLink, now: float) -> None:
         assert link.peer is not None
         self.followers[link] = Follower(link, link.peer["node"], heard=now)
+        link.on_drained = self.drained
 
     def went(self, link: FrameLink) -> None:
         self.followers.pop(link, None)
 
+    def drained(self, link: FrameLink) -> None:
+        if follower := self.followers.get(link):
+            self.catch_up(follower)
+
     def heard(self, link: FrameLink, message: list[Any], now: float) -> None:
         follower = self.followers.get(link)
         if follower is None:
@@ -58,13 +84,10 @@
         follower.heard = now
         match message:
             case ["follow", int(place)]:
-                self.told_place = max(self.told_place, place)
-                follower.place = place
-                self.catch_up(follower)
-                for each in self.topics.messages():
-                    link.send(each)
+                self.follow(follower, place)
             case ["primary", bool(primary)]:
                 follower.primary = primary
+                self.catch_up(follower)
             case ["heartbeat", int(), dict(work)]:
                 if not all(map(is_rates, work.values())):
                     raise FrameError("a heartbeat with a malformed rate")
@@ -72,30 +95,43 @@
             case _:
                 raise FrameError(f"a follower does not say {message[0]!r}")
 
+    # Entries.
+
+    def follow(self, follower: Follower, place: int) -> None:
+        self.told_place = max(self.told_place, place)
+        if follower.place < 0:
+            for each in self.topics.messages():
+                follower.link.send(each)
+        elif follower.link.busy and follower.primary:
+            return  # what it asks for is on its way
+        follower.place = place
+        self.catch_up(follower)
+
     def catch_up(self, follower: Follower) -> None:
         """A follower that is ahead gets nothing: its place is never taken back."""
-        chain = self.chain
-        if follower.place < 0 or follower.place >= chain.committed:
+        if not follower.primary or follower.place < 0 or follower.link.busy or not self.may_feed():
             return
-        if not chain.log or chain.log[0][0] > follower.place + 1:
-            follower.link.send(["state", chain.committed, chain.state.to_wire()])
-        else:
-            for number, change in chain.log:
-                if follower.place < number <= chain.committed:
-                    follower.link.send(["entry", number, change])
-        follower.place = chain.committed
+        if self.history.newest != self.chain.committed:
+            self.history.restart(self.chain.committed)
+        for each in self.history.messages(follower.place):
+            follower.link.send_packed(each.kind, each.data, ordered=True)
+            follower.place = each.number
+
+    def catch_all_up(self) -> None:
+        for follower in list(self.followers.values()):
+            self.catch_up(follower)
 
     def applied(self, number: int, change: list[Any] | None) -> None:
         """A committed entry, or with None a whole state."""
-        data = pack(["entry", number, change]) if change is not None and self.followers else b""
-        for follower in self.followers.values():
-            if follower.place < 0:
-                continue
-            if change is not None and follower.place == number - 1:
-                follower.link.send_packed("entry", data)
-                follower.place = number
-            elif follower.place < number:
-                self.catch_up(follower)
+        before, document = self.configuration
+        if change is None:
+            self.history.restart(number)
+        else:
+            self.history.add(number, as_amend(document, change) if before == number - 1 else change)
+        self.configuration = number, self.chain.state.configuration
+        self.catch_all_up()
+
+    # What all followers are told.
 
     def tell_topic(self, name: str) -> None:
         told = self.topics.told[name]
@@ -130,6 +166,7 @@
                 work[service].append(demand)
         count = max(len(routers), 1)
         self.send_all(["beat", fresh, self.chain.committed, registrars, count, work])
+        self.catch_all_up()
 
     def alive(self, now: float) -> dict[str, Work]:
         """The work of each follower that was heard of late, by name."""
--- /dev/null
+++ b/tests/test_feeding.py
@@ -0,0 +1,240 @@
+"""The registrar's side of the feed: to whom entries go, in what form, and how much waits for a slow one."""
+
+from typing import Any
+
+import ormsgpack
+import pytest
+
+from plumline.configuration.document import Document
+from plumline.configuration.state import State
+from plumline.coordination.topics import Topics
+from plumline.counters import Counters
+from plumline.registrar import history as history_module
+from plumline.registrar.feeding import Feed
+from plumline.wire.frames import Unpacker
+
+
+class FakeChain:
+    """What a feed reads of a chain; a test commits to it."""
+
+    def __init__(self) -> None:
+        self.state, self.committed = State(), 0
+
+    def commit(self, feed: Feed, change: list[Any]) -> None:
+        self.state = self.state.apply(change)
+        self.committed += 1
+        feed.applied(self.committed, change)
+
+
+class FakeLink:
+    """Keeps what it was sent; a test says whether the router takes it."""
+
+    def __init__(self, node: str) -> None:
+        self.peer = {"node": node}
+        self.frames: list[bytes] = []
+        self.busy = False
+        self.on_drained: Any = None
+
+    def send(self, message: list[Any], *, ordered: bool = False) -> None:
+        self.frames.append(ormsgpack.packb(message))
+
+    def send_packed(self, kind: str, data: bytes, *, ordered: bool = False) -> None:
+        self.frames.append(data)
+
+    def drain(self) -> None:
+        self.busy = False
+        self.on_drained(self)
+
+    def take(self) -> list[list[Any]]:
+        """The entries and states that came since the last look."""
+        found, self.frames = self.frames, []
+        messages = [Unpacker().feed(each)[0] for each in found]
+        return [message for message in messages if message[0] in ("entry", "state")]
+
+
+class Router:
+    """Applies what it is sent as a router does."""
+
+    def __init__(self, link: FakeLink) -> None:
+        self.link, self.place, self.state, self.bytes = link, 0, State(), 0
+
+    def take(self) -> list[str]:
+        self.bytes += sum(map(len, self.link.frames))
+        kinds = []
+        for kind, number, told in self.link.take():
+            kinds.append(kind)
+            if kind == "state":
+                assert number > self.place
+                self.state = State.from_wire(told)
+            else:
+                assert number == self.place + 1
+                self.state = self.state.apply(told)
+            self.place = number
+        return kinds
+
+
+def document(version: int, routes: int) -> Document:
+    return {
+        "Version": version,
+        "Routes": [
+            {"Name": f"r{at}", "Host": "h", "PathPrefix": f"/{at}/", "Service": "s", "TimeoutMs": 1000}
+            for at in range(routes)
+        ],
+        "Services": [{"Name": "s"}],
+    }
+
+
+def amend(version: int, at: int) -> list[Any]:
+    """Another time-out for one route."""
+    changed = {"Name": f"r{at}", "Host": "h", "PathPrefix": f"/{at}/", "Service": "s", "TimeoutMs": version}
+    return ["amend", version - 1, {"Version": version, "Upserts": {"Routes": [changed]}}]
+
+
+class Scene:
+    """A chain with a feed and some routers; the first follows it as its primary."""
+
+    def __init__(self, routers: int = 1) -> None:
+        self.chain, self.fresh = FakeChain(), True
+        self.feed = Feed(self.chain, Topics(), Counters(), 1.2, lambda: self.fresh)  # type: ignore[arg-type]
+        self.routers = [self.join(f"n{at}") for at in range(routers)]
+
+    def join(self, node: str, place: int = 0, primary: bool = True) -> Router:
+        link: Any = FakeLink(node)
+        self.feed.came(link, 0.0)
+        self.say(link, ["follow", place])
+        if primary:
+            self.say(link, ["primary", True])
+        return Router(link)
+
+    def say(self, link: Any, message: list[Any]) -> None:  # noqa: ANN401
+        self.feed.heard(link, message, 0.0)
+
+    def commit(self, *changes: list[Any]) -> None:
+        for change in changes:
+            self.chain.commit(self.feed, change)
+
+
+def test_entries_go_to_those_whose_primary_this_is_and_to_no_other() -> None:
+    scene = Scene()
+    other = scene.join("other", primary=False)
+    scene.commit(["replace", 0, document(1, 3)], amend(2, 0))
+    scene.feed.beat(True, [], {})
+    assert scene.routers[0].take() == ["entry", "entry"]
+    assert other.link.take() == []
+    scene.say(other.link, ["follow", 0])
+    scene.say(other.link, ["primary", True])
+    assert other.take() == ["entry", "entry"]
+    assert other.state.configuration == scene.chain.state.configuration
+    scene.say(other.link, ["primary", False])
+    scene.commit(amend(3, 0))
+    assert other.take() == []
+
+
+def test_a_registrar_that_may_not_know_the_newest_feeds_nobody() -> None:
+    scene = Scene()
+    scene.fresh = False
+    scene.commit(["replace", 0, document(1, 3)])
+    late = scene.join("late")
+    scene.feed.beat(False, [], {})
+    assert scene.routers[0].take() == late.take() == []
+    scene.fresh = True
+    scene.feed.beat(True, [], {})
+    assert scene.routers[0].take() == late.take() == ["entry"]
+
+
+def test_a_router_that_takes_nothing_gets_no_more_until_it_has_and_then_the_shortest() -> None:
+    scene = Scene()
+    router = scene.routers[0]
+    scene.commit(["replace", 0, document(1, 50)])
+    assert router.take() == ["entry"]
+    router.link.busy = True
+    scene.commit(*(amend(version, version % 50) for version in range(2, 400)))
+    scene.feed.beat(True, [], {})
+    assert router.take() == []
+    router.link.drain()
+    assert router.take() == ["state"]  # 398 entries are longer
+    assert router.state.configuration == scene.chain.state.configuration
+    router.link.busy = True
+    scene.commit(amend(400, 1), amend(401, 1))
+    router.link.drain()
+    assert router.take() == ["entry", "entry"]
+    assert router.place == scene.chain.committed
+
+
+def test_asking_again_while_a_transfer_is_under_way_changes_nothing() -> None:
+    scene = Scene()
+    scene.commit(["replace", 0, document(1, 2000)])
+    router = scene.join("late")
+    sent = len(router.link.frames)
+    router.link.busy = True
+    for _ in range(5):
+        scene.say(router.link, ["follow", 0])
+        scene.say(router.link, ["primary", True])
+    assert len(router.link.frames) == sent
+    router.link.drain()
+    assert len(router.link.frames) == sent
+
+
+def test_a_thousand_changes_of_large_configurations_cost_a_router_little(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    packed: list[str] = []
+    pack = history_module.pack
+    monkeypatch.setattr(history_module, "pack", lambda message: packed.append(message[0]) or pack(message))
+    scene = Scene()
+    scene.commit(["replace", 0, document(1, 4000)])
+    for version in range(2, 1000):
+        scene.commit(amend(version, version % 4000))
+    size = len(ormsgpack.packb(scene.chain.state.configuration))
+    packed.clear()
+    behind = [scene.join(f"late{at}", place=1) for at in range(50)]
+    new = [scene.join(f"new{at}") for at in range(50)]
+    for each in [*behind, *new]:
+        if each in behind:
+            each.place, each.state = 1, State().apply(["replace", 0, document(1, 4000)])
+        each.take()
+        assert each.place == scene.chain.committed
+        assert each.state.configuration == scene.chain.state.configuration
+        assert each.bytes < size / 5
+    assert packed == ["state"]  # one packed snapshot for all of them
+    assert scene.feed.history.bytes <= history_module.KEPT_BYTES
+
+
+def test_a_replaced_configuration_is_told_as_what_it_changes() -> None:
+    scene = Scene()
+    scene.commit(["replace", 0, document(1, 4000)])
+    scene.routers[0].take()
+    before = scene.routers[0].bytes
+    for version in range(2, 12):
+        second = document(version, 4000)
+        second["Routes"][version]["TimeoutMs"] = version
+        scene.commit(["replace", version - 1, second])
+    assert scene.routers[0].take() == ["entry"] * 10
+    assert scene.routers[0].bytes - before < 10 * 1000
+    assert scene.routers[0].state.configuration == scene.chain.state.configuration
+
+
+def test_after_a_whole_state_from_the_chain_routers_get_the_state() -> None:
+    scene = Scene()
+    scene.commit(["replace", 0, document(1, 3)])
+    scene.routers[0].take()
+    scene.chain.state = State().apply(["replace", 0, document(9, 3)])
+    scene.chain.committed = 12
+    scene.feed.applied(12, None)
+    assert scene.routers[0].take() == ["state"]
+    scene.commit(amend(10, 2))
+    assert scene.routers[0].take() == ["entry"]
+    assert scene.routers[0].state.version == 10
+
+
+def test_entries_kept_for_followers_are_bounded_by_bytes(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(history_module, "KEPT_BYTES", 2000)
+    scene = Scene()
+    scene.commit(["replace", 0, document(1, 20)])
+    for version in range(2, 100):
+        scene.commit(amend(version, version % 20))
+        assert scene.feed.history.bytes <= 2000
+    router = scene.join("late", place=1)
+    router.place = 1
+    assert router.take()[0] == "state"
+    assert router.place == scene.chain.committed
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -1,6 +1,7 @@
 """A router's follower against registrars that a test plays on loopback sockets."""
 
 import asyncio
+import random
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -13,7 +14,7 @@
 from plumline.router.following import Follower
 from plumline.routing.fleet import Fleet
 from plumline.settings import Settings
-from plumline.wire.frames import FrameLink, hello
+from plumline.wire.frames import PIECE_BYTES, FrameLink, Outgoing, framed, hello
 
 DOCUMENT = {
     "Version": 3,
@@ -166,3 +167,141 @@
     assert counters.get("frames.frame-invalid") == 1
     follower.close()
     registrar.close()
+
+
+async def two_sources(counters: Counters) -> tuple[Follower, Fleet, FakeRegistrar, FakeRegistrar]:
+    """A follower whose primary is the first registrar, and both are fresh at entry 5."""
+    first, second, fleet = FakeRegistrar(), FakeRegistrar(), Fleet()
+    port = await first.listen("127.0.0.1", 0)
+    await second.listen("127.0.0.2", port)
+    follower = Follower(settings_for(port, "127.0.0.1"), fleet, counters)
+    follower.look(follower.loop.time())
+    await soon(first.up.wait())
+    told = [[f"127.0.0.1:{port}", "a"], [f"127.0.0.2:{port}", "b"]]
+    first.links[0].send(["beat", True, 5, told, 4, {}])
+    await soon(until(lambda: follower.primary is not None))
+    first.links[0].send(["state", 5, State().apply(["replace", 0, DOCUMENT]).to_wire()])
+    await soon(until(lambda: fleet.place == 5))
+    follower.look(follower.loop.time())
+    await soon(second.up.wait())
+    second.links[0].send(["beat", True, 5, told, 4, {}])
+    await soon(until(lambda: follower.sources[f"127.0.0.2:{port}"].fresh))
+    return follower, fleet, first, second
+
+
+async def said(registrar: FakeRegistrar) -> list[list[Any]]:
+    """All that it was told so far, heartbeats aside."""
+    for _ in range(20):
+        await asyncio.sleep(0)
+    found = [registrar.said.get_nowait() for _ in range(registrar.said.qsize())]
+    return [message for message in found if message[0] != "heartbeat"]
+
+
+def beat(committed: int, *registrars: FakeRegistrar) -> list[Any]:
+    addresses = [":".join(map(str, each.address)) for each in registrars]
+    return ["beat", True, committed, [[each, "a"] for each in addresses], 4, {}]
+
+
+@play
+async def test_entries_are_asked_of_one_source_only(tmp_path: Path) -> None:
+    follower, fleet, first, second = await two_sources(Counters())
+    follower.look(follower.loop.time())
+    assert ["primary", True] in await said(first)
+    assert await said(second) == [["follow", 5]]
+    assert fleet.fresh
+    follower.close()
+    first.close()
+    second.close()
+
+
+@play
+async def test_the_other_source_is_asked_when_the_primary_lags_a_beat(tmp_path: Path) -> None:
+    counters = Counters()
+    follower, fleet, first, second = await two_sources(counters)
+    await said(first), await said(second)
+    primary = follower.primary
+    second.links[0].send(beat(6, first, second))
+    other = next(each for each in follower.sources.values() if each is not primary)
+    await soon(until(lambda: other.committed == 6))
+    now = follower.loop.time()
+    follower.look(now + following.LAG / 2)
+    assert follower.primary is primary and fleet.fresh
+    follower.look(now + following.LAG + 0.1)
+    assert follower.primary is other
+    assert await said(first) == [["primary", False]]
+    assert await said(second) == [["follow", 5], ["primary", True]]
+    assert counters.get("feed.primary-lags") == 1
+    # What is known may not be the newest, so nothing is denied by it.
+    assert not fleet.fresh
+    second.links[0].send(["entry", 6, ["weights", {"Model": "m", "Version": 2}]])
+    await soon(until(lambda: fleet.place == 6))
+    follower.look(now + following.LAG + 0.2)
+    assert fleet.fresh
+    follower.close()
+    first.close()
+    second.close()
+
+
+@play
+async def test_pieces_that_arrive_keep_a_source_and_a_primary(tmp_path: Path) -> None:
+    follower, fleet, first, second = await two_sources(Counters())
+    await said(first), await said(second)
+    primary = follower.primary
+    assert primary is not None and primary.link is not None
+    second.links[0].send(beat(6, first, second))
+    other = next(each for each in follower.sources.values() if each is not primary)
+    await soon(until(lambda: other.committed == 6))
+    now = follower.loop.time()
+    later = now + following.SILENT + 1
+    # The pieces of a state on their way, and no whole message.
+    large = Outgoing(framed(random.Random(1).randbytes(3 * PIECE_BYTES)))
+    first.links[0].transport.write(large.next_frame())
+    await soon(until(lambda: primary.link.piece_at > 0))
+    primary.link.heard_at = primary.link.piece_at = other.heard = later
+    follower.look(later + 0.1)
+    assert follower.sources[primary.address] is primary
+    assert follower.primary is primary
+    assert await said(first) == await said(second) == []
+    assert not fleet.fresh  # it is long since the core had more
+    follower.close()
+    first.close()
+    second.close()
+
+
+@play
+async def test_a_primary_that_is_lost_is_replaced_by_the_other_source_at_once(tmp_path: Path) -> None:
+    follower, fleet, first, second = await two_sources(Counters())
+    await said(second)
+    first.links[0].abort()
+    await soon(until(lambda: len(follower.sources) == 1))
+    follower.look(follower.loop.time())
+    assert follower.primary is not None and follower.primary.address.startswith("127.0.0.2")
+    assert await said(second) == [["follow", 5], ["primary", True]]
+    assert fleet.place == 5
+    follower.close()
+    first.close()
+    second.close()
+
+
+@play
+async def test_a_router_that_begins_shows_nothing_before_it_has_all_that_was_told(tmp_path: Path) -> None:
+    registrar, fleet = FakeRegistrar(), Fleet()
+    port = await registrar.listen("127.0.0.1", 0)
+    follower = Follower(settings_for(port, "127.0.0.1"), fleet, Counters())
+    follower.look(follower.loop.time())
+    await soon(registrar.up.wait())
+    link = registrar.links[0]
+    link.send(beat(2, registrar))
+    link.send(["entry", 1, ["replace", 0, DOCUMENT]])
+    await soon(until(lambda: follower.place == 1))
+    assert (fleet.state, fleet.table, fleet.place) == (None, None, 0)
+    link.send(["entry", 2, ["amend", 3, {"Version": 4}]])
+    await soon(until(lambda: fleet.place == 2))
+    assert (fleet.state.version, fleet.table.version) == (4, 4)
+    # From then on each entry counts as it comes.
+    link.send(beat(9, registrar))
+    link.send(["entry", 3, ["amend", 4, {"Version": 5}]])
+    await soon(until(lambda: fleet.place == 3))
+    assert (fleet.state.version, fleet.table.version) == (5, 5)
+    follower.close()
+    registrar.close()
