Bound what the chain keeps and sends, and let states be pulled piece by piece

Cause: the log kept 512 entries of any size; a predecessor sent a whole state again at each report, every 0.2 s, while one was still on its way, and a learner asked each member in turn as often; a learner that lacked few but large entries was taken in as the tail, and the chain stood still until it had them. A member that restarted with an old state counted as fresh until the first ping with a newer view came: up to 0.15 s in which it fed routers.

Change: the log is bounded by 4 MiB on the wire too. Entries go to a successor 1 MiB at a time, to a learner 128 KiB at a time; what is under way is not sent again before its wait is over. A learner's pings say whether it lacks more than a lesson. A peer counts for freshness once it has told its view. The question to acceptors whether a view is the present one is a part of its own (confirmation).

--- a/plumline/coordination/chain.py
+++ b/plumline/coordination/chain.py
@@ -2,24 +2,41 @@
 
 The head orders changes; every member syncs an entry before it passes it on; the tail commits what it has
 synced if the chain has copies enough, and the commit travels back up. Only committed entries reach
-`applied`. Everything is repeated on the tick until it has happened, so lost messages cost time only.
+`applied`. What was lost is sent again after a while, so lost messages cost time only.
 
 A predecessor's log always holds all that its successor's does; a view keeps the order of those that stay.
 Who is not in the chain is a learner: it holds committed entries only, and is then admitted as the new tail.
+
+Whoever lacks entries that are no longer kept pulls a whole state piece by piece (`transfer`). Entries go to a
+successor a window at a time, to a learner a lesson at a time, so what is on its way to a member is bounded.
 """
 
-import secrets
-from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
+from plumline.coordination.confirmation import Confirmations
 from plumline.coordination.effects import Effects, Member, Message, Record
+from plumline.coordination.log import Entry, Log
+from plumline.coordination.transfer import (
+    Patience,
+    Piece,
+    Snapshot,
+    SnapshotSender,
+    Transfer,
+    Wanted,
+)
 from plumline.coordination.view import View
 from plumline.errors import PlumlineError, UnavailableError
 
 #: Committed entries kept in memory for those that follow; who is further behind gets the state.
 KEPT_ENTRIES = 512
+KEPT_BYTES = 4 * 1024 * 1024  # of them on the wire: about 16 MiB of memory
 TICK = 0.2  # s between reports to the predecessor
+WINDOW_BYTES = (
+    1024 * 1024
+)  # of entries that a successor may have been sent and not reported; one at the least
+LESSON_BYTES = 128 * 1024  # of entries in one lesson; one at the least
+LESSON_PATIENCE = 0.8  # s at the most until the next one is asked for a lesson
 Answer = Callable[[PlumlineError | None], None]  # None: committed
 
 
@@ -40,7 +57,7 @@
         self.me, self.copies, self.effects, self.load, self.applied = me, copies, effects, load, applied
         self.view: View | None = None
         self.position: int | None = None  # in the chain; None: learner
-        self.log: deque[tuple[int, list[Any]]] = deque()  # consecutive, the newest is `last`
+        self.log = Log()  # the newest is `last`
         self.state = empty  # committed
         self.newest = empty  # with all entries of the log
         self.committed = self.last = self.synced = 0
@@ -48,10 +65,18 @@
         self.floor: int | None = None  # number from which on it is
         self.life = 0  # rises when entries are dropped or replaced: what was being written counts no more
         self.waiting: dict[int, list[tuple[Answer, PlumlineError | None]]] = {}
-        self.reported = -1  # `last` that the successor told on its newest report
-        self.tick_at = 0.0
-        self.checks: dict[int, tuple[set[str], Callable[[bool], None]]] = {}  # by nonce
-        self.nonce = secrets.randbits(48)  # what was sent to an earlier life answers nothing in this one
+        self.reported = -1  # `last` that the successor told on its newest report; -1: it hasn't
+        self.sent = -1  # the newest entry that the successor was sent
+        self.resend = Patience()  # for the successor to take what it was sent
+        self.unreported = 0  # bytes taken since the newest report
+        self.now = self.tick_at = 0.0
+        self.snapshots = SnapshotSender(
+            lambda: (self.committed, self.state.to_wire()),
+            lambda number: number == self.committed or self.log.leads_on(number),
+        )
+        self.transfer = Transfer()
+        self.near = False  # the newest lesson left nothing over
+        self.confirmations = Confirmations(effects)
         self.lessons = -1
 
     # Durable state.
@@ -63,7 +88,7 @@
                 self.log.clear()
                 self.committed = self.last = self.synced = number
             case ["entry", int(number), change, int(committed)] if number == self.last + 1:
-                self.log.append((number, change))
+                self.log.append(number, change)
                 self.newest = self.newest.apply(change)
                 self.last = self.synced = number
                 self.advance(min(committed, self.synced), quiet=True)
@@ -74,32 +99,35 @@
 
     def records(self) -> list[Record]:
         found: list[Record] = [["base", self.committed, self.state.to_wire()]]
-        found += [["entry", n, change, self.committed] for n, change in self.log if n > self.committed]
+        found += [
+            ["entry", each.number, each.change, self.committed]
+            for each in self.log.between(self.committed, self.last)
+        ]
         found.append(["caught-up", self.caught_up])
         return found
 
     def drop_after(self, number: int) -> None:
         """Forgets entries that may never have been committed."""
         self.life += 1
-        while self.log and self.log[-1][0] > number:
-            self.log.pop()
+        self.log.drop_after(number)
         self.last = min(self.last, max(number, self.committed))
         self.synced = min(self.synced, self.last)
         self.newest = self.state
-        for n, change in self.log:
-            if n > self.committed:
-                self.newest = self.newest.apply(change)
+        for each in self.log.between(self.committed, self.last):
+            self.newest = self.newest.apply(each.change)
 
     # The view.
 
     def install(self, view: View) -> None:
         was_head = self.is_head()
         self.view, self.position = view, view.position(self.me)
-        self.floor, self.reported = None, -1
+        self.floor, self.reported, self.sent = None, -1, -1
+        self.resend, self.near = Patience(), False
+        self.transfer.begin_view()
         if (view.number == 1 and self.position is not None) or self.position is None:
             self.set_caught_up(self.position is not None)
         self.tick_at = 0.0
-        self.fail_checks()
+        self.confirmations.deny_all()
         if was_head and self.position != 0:
             self.fail_waiting()
         if self.position is None:
@@ -116,11 +144,6 @@
             self.caught_up = caught_up
             self.effects.persist(["caught-up", caught_up], lambda: None)
 
-    def fail_checks(self) -> None:
-        checks, self.checks = self.checks, {}
-        for _, answer in checks.values():
-            answer(False)
-
     def fail_waiting(self) -> None:
         waiting, self.waiting = self.waiting, {}
         for answers in waiting.values():
@@ -171,22 +194,25 @@
 
     def append(self, number: int, change: list[Any]) -> None:
         self.newest = self.newest.apply(change)
-        self.log.append((number, change))
+        entry = self.log.append(number, change)
         self.last = number
         life = self.life
 
         def done() -> None:
             if life == self.life:
                 self.synced = number
-                self.pass_on(number, change)
+                self.push()
+                self.note_taken(entry.size)
                 self.check_floor()
                 self.commit_if_tail()
 
         self.effects.persist(["entry", number, change, self.committed], done)
 
-    def pass_on(self, number: int, change: list[Any]) -> None:
-        if (successor := self.neighbour(1)) and self.reported >= 0:
-            self.effects.send(successor, ["chain-entry", self.number(), number, change])
+    def note_taken(self, size: int) -> None:
+        """Reports before the predecessor's window is used up."""
+        self.unreported += size
+        if self.unreported >= WINDOW_BYTES // 2:
+            self.report()
 
     def commit_if_tail(self) -> None:
         if self.is_tail() and self.caught_up and self.can_commit():
@@ -199,67 +225,92 @@
         number = min(number, self.synced)
         if number <= self.committed:
             return
-        for n, change in self.log:
-            if self.committed < n <= number:
-                self.state = self.state.apply(change)
-                self.committed = n
-                if not quiet:
-                    self.applied(n, change)
-        if self.committed == self.last:
-            self.state = self.newest
-        while len(self.log) > KEPT_ENTRIES and self.log[0][0] <= self.committed:
-            self.log.popleft()
+        for each in list(self.log.between(self.committed, number)):
+            newest = each.number == self.last
+            self.state = self.newest if newest else self.state.apply(each.change)
+            self.committed = each.number
+            if not quiet:
+                self.applied(each.number, each.change)
+        self.trim()
         for n in [each for each in self.waiting if each <= self.committed]:
             for answer, error in self.waiting.pop(n):
                 answer(error)
 
+    def trim(self) -> None:
+        self.log.trim(self.committed, KEPT_ENTRIES, KEPT_BYTES)
+
     # Reports to the predecessor; what it sends for them.
 
     def tick(self, now: float) -> None:
+        self.now = now
+        self.snapshots.tick(now)
         if now >= self.tick_at:
             self.tick_at = now + TICK
             if self.position is None:
                 self.learn()
             else:
+                self.pull_again()
                 self.report()
                 self.commit_if_tail()
 
     def report(self) -> None:
+        self.unreported = 0
         if predecessor := self.neighbour(-1):
             told = ["chain-report", self.number(), self.last, self.committed, self.caught_up]
             self.effects.send(predecessor, told)
 
     def on_report(self, sender: str, last: int, committed: int, caught_up: bool) -> None:
-        again = self.reported == last
-        first, self.reported = self.reported < 0, last
+        if self.reported < 0:
+            self.sent = last
+        self.reported = min(self.reported, last)  # it may have lost in a restart what it had not synced
+        self.note_reported(last)
         if self.caught_up and not caught_up:
             self.effects.send(sender, ["chain-floor", self.number(), self.synced])
-        if first or again:
-            self.send_after(sender, last)
+        if last < self.sent and self.resend.over(self.now):
+            self.resend.ask(self.now)
+            self.sent = last  # some of it was lost
+        self.push()
         if committed > self.committed:
             self.advance(committed)
             if predecessor := self.neighbour(-1):
                 self.effects.send(predecessor, ["chain-commit", self.number(), self.committed])
 
-    def send_after(self, to: str, last: int) -> None:
-        """What a successor lacks and is synced here."""
-        if last >= self.synced:
+    def note_reported(self, last: int) -> None:
+        """The successor has all entries up to this one."""
+        self.sent = max(self.sent, last)
+        if last > self.reported:
+            self.reported = last
+            self.resend.answered(self.now)
+            if self.sent > last:
+                self.resend.ask(self.now)
+
+    def push(self) -> None:
+        """Sends the successor what it lacks and is synced here, as far as its window reaches."""
+        successor = self.neighbour(1)
+        if successor is None or self.reported < 0 or self.sent >= self.synced:
+            return
+        if not self.log.leads_on(self.sent):
+            self.effects.send(successor, ["chain-behind", self.number()])
             return
-        if not self.log or self.log[0][0] > last + 1:
-            self.effects.send(to, ["chain-state", self.number(), self.committed, self.state.to_wire()])
-            last = self.committed
-        for n, change in self.log:
-            if last < n <= self.synced:
-                self.effects.send(to, ["chain-entry", self.number(), n, change])
+        room = WINDOW_BYTES - self.log.bytes_between(self.reported, self.sent)
+        entries = list(self.log.between(self.sent, self.synced))
+        if self.sent > self.reported and entries[0].size > room:
+            return
+        for each in first_bytes(entries, room):
+            self.effects.send(successor, ["chain-entry", self.number(), each.number, each.change])
+            self.sent = each.number
+        if not self.resend.waiting:
+            self.resend.ask(self.now)
 
     def take_state(self, number: int, wire: Any) -> None:  # noqa: ANN401
         """A whole committed state in place of entries that are no longer at hand."""
         if number <= self.last:
             self.advance(number)  # what follows it may be on its way to the tail already
             return
+        state = self.load(wire)
         self.life += 1
         self.log.clear()
-        self.state = self.newest = self.load(wire)
+        self.state = self.newest = state
         self.committed = self.last = number
         self.applied(number, None)
         life = self.life
@@ -267,6 +318,8 @@
         def done() -> None:
             if life == self.life:
                 self.synced = number
+                self.report()
+                self.push()
                 self.check_floor()
                 self.commit_if_tail()
 
@@ -277,45 +330,106 @@
             self.set_caught_up(True)
             self.commit_if_tail()
 
+    # Whole states, for a successor or a learner.
+
+    def pull(self, source: str) -> None:
+        """Asks for the piece that is wanted next."""
+        self.ask_piece(source, self.transfer.ask(self.now, source))
+
+    def ask_piece(self, source: str, wanted: Wanted) -> None:
+        self.effects.send(source, ["chain-pull", self.number(), wanted.number, wanted.digest, wanted.offset])
+
+    def pull_again(self) -> None:
+        """In the chain: a state that the predecessor was asked for and did not send on."""
+        if self.transfer.active and self.transfer.may_ask(self.now) and (predecessor := self.neighbour(-1)):
+            self.pull(predecessor)
+
+    def on_behind(self, sender: str) -> None:
+        """The predecessor no longer keeps what is lacking here."""
+        if self.transfer.may_ask(self.now):
+            self.pull(sender)
+
+    def on_pull(self, sender: str, wanted: Wanted) -> None:
+        piece = self.snapshots.answer(self.now, wanted)
+        self.effects.send(sender, ["chain-piece", self.number(), *piece.to_wire()])
+
+    def on_piece(self, sender: str, wire: list[Any]) -> None:
+        """Only a state from beyond what is held here is of use."""
+        try:
+            match self.transfer.take(self.now, sender, Piece.from_wire(wire), self.committed):
+                case Snapshot() as whole:
+                    self.take_state(whole.name.number, whole.wire())
+                    if self.position is None:
+                        self.ask_lesson(sender)
+                case Wanted() as wanted:
+                    self.ask_piece(sender, wanted)
+        except PlumlineError:
+            self.transfer.drop()
+
     # Learning, outside the chain: committed entries only, from the tail.
 
     def learn(self) -> None:
-        if self.view is not None and self.view.chain:
-            self.lessons += 1  # each in turn, from the tail on: one may be gone
-            teacher, _ = self.view.chain[-1 - self.lessons % len(self.view.chain)]
-            self.effects.send(teacher, ["chain-learn", self.number(), self.last])
-
-    def on_learn(self, sender: str, place: int) -> None:
-        if place >= self.committed:
+        if self.view is None or not self.view.chain or not self.transfer.may_ask(self.now):
+            return
+        if self.transfer.active and self.in_chain(self.transfer.source):
+            self.pull(self.transfer.source)
             return
-        if not self.log or self.log[0][0] > place + 1:
-            told = ["chain-lesson", self.number(), self.committed, self.state.to_wire(), []]
-            self.effects.send(sender, told)
+        self.lessons += 1  # each in turn, from the tail on: one may be gone
+        teacher, _ = self.view.chain[-1 - self.lessons % len(self.view.chain)]
+        if self.transfer.active:
+            self.pull(teacher)
         else:
-            missing = [[n, change] for n, change in self.log if place < n <= self.committed]
-            self.effects.send(sender, ["chain-lesson", self.number(), place, None, missing])
+            self.ask_lesson(teacher)
+
+    def in_chain(self, address: str) -> bool:
+        return self.view is not None and any(address == each for each, _ in self.view.chain)
 
-    def on_lesson(self, number: int, wire: Any, entries: list[Any]) -> None:  # noqa: ANN401
-        if wire is not None:
-            self.take_state(number, wire)
+    def ask_lesson(self, teacher: str) -> None:
+        self.transfer.source = teacher
+        self.transfer.patience.ask(self.now, LESSON_PATIENCE)
+        self.effects.send(teacher, ["chain-learn", self.number(), self.last])
+
+    def on_learn(self, sender: str, place: int) -> None:
+        if place < self.committed and not self.log.leads_on(place):
+            self.on_pull(sender, Wanted())
+            return
+        entries = list(first_bytes(list(self.log.between(place, self.committed)), LESSON_BYTES))
+        more = bool(entries) and entries[-1].number < self.committed
+        told = [[each.number, each.change] for each in entries]
+        self.effects.send(sender, ["chain-lesson", self.number(), more, told])
+
+    def on_lesson(self, sender: str, more: bool, entries: list[Any]) -> None:
+        if self.transfer.awaits(sender):
+            self.transfer.patience.answered(self.now)
+            self.near = not more
         life = self.life
         for n, change in entries:
             if n != self.last + 1:
                 continue
             self.newest = self.newest.apply(change)
-            self.log.append((n, change))
+            self.log.append(n, change)
             self.last = self.committed = n
             self.state = self.newest
             self.applied(n, change)
-            self.effects.persist(["entry", n, change, n], lambda n=n: self.lesson_synced(n, life))
-        while len(self.log) > KEPT_ENTRIES:
-            self.log.popleft()
-
-    def lesson_synced(self, number: int, life: int) -> None:
-        if life == self.life:
-            self.synced = max(self.synced, number)
-            self.check_floor()
-            self.commit_if_tail()
+            self.effects.persist(["entry", n, change, n], lambda n=n: self.lesson_synced(n, life, sender))
+        self.trim()
+
+    def lesson_synced(self, number: int, life: int, teacher: str) -> None:
+        if life != self.life:
+            return
+        self.synced = max(self.synced, number)
+        self.check_floor()
+        self.commit_if_tail()
+        level = self.near or self.synced < self.last
+        if self.position is None and not level and not self.transfer.patience.waiting:
+            self.ask_lesson(teacher)
+
+    def standing(self) -> int:
+        """What its pings tell: 2 in the chain and caught up, 1 in the chain, 0 a learner that holds all but a
+        lesson, -1 one that lacks more."""
+        if self.position is not None:
+            return 1 + int(self.caught_up)
+        return 0 if self.near and not self.transfer.active else -1
 
     # Reads.
 
@@ -332,22 +446,8 @@
         """`answer(True)` once a majority of acceptors has said that it knows no newer view."""
         if self.view is None:
             answer(False)
-            return
-        self.nonce += 1
-        self.checks[self.nonce] = set(), answer
-        while len(self.checks) > 64:
-            self.checks.pop(next(iter(self.checks)))[1](False)
-        for address, _ in self.view.acceptors:
-            self.effects.send(address, ["view-check", self.nonce, self.view.number])
-
-    def on_checked(self, sender: str, nonce: int, number: int) -> None:
-        if self.view is None or number != self.view.number or nonce not in self.checks:
-            return
-        told, answer = self.checks[nonce]
-        told.add(sender)
-        if len(told) >= self.view.majority():
-            del self.checks[nonce]
-            answer(True)
+        else:
+            self.confirmations.ask(self.view, answer)
 
     # Messages.
 
@@ -356,9 +456,15 @@
             case ["chain-entry", number, int(n), change]:
                 if number == self.number() and sender == self.neighbour(-1) and n == self.last + 1:
                     self.append(n, change)
-            case ["chain-state", number, int(n), wire]:
+            case ["chain-behind", number]:
                 if number == self.number() and sender == self.neighbour(-1):
-                    self.take_state(n, wire)
+                    self.on_behind(sender)
+            case ["chain-pull", number, int(n), str(digest), int(offset)]:
+                if number == self.number() and self.position is not None:
+                    self.on_pull(sender, Wanted(n, digest, offset))
+            case ["chain-piece", number, *wire]:
+                if number == self.number() and (self.position is None or sender == self.neighbour(-1)):
+                    self.on_piece(sender, wire)
             case ["chain-floor", number, int(n)]:
                 if number == self.number() and sender == self.neighbour(-1):
                     self.floor = n if self.floor is None else self.floor
@@ -368,17 +474,30 @@
                     self.on_report(sender, last, committed, caught_up)
             case ["chain-commit", number, int(n)]:
                 if number == self.number() and sender == self.neighbour(1) and n > self.committed:
+                    if self.reported >= 0:
+                        self.note_reported(n)
+                        self.push()
                     self.advance(n)
                     if predecessor := self.neighbour(-1):
                         self.effects.send(predecessor, ["chain-commit", self.number(), self.committed])
             case ["chain-learn", number, int(place)]:
                 if number == self.number() and self.position is not None:
                     self.on_learn(sender, place)
-            case ["chain-lesson", number, int(n), wire, list(entries)]:
+            case ["chain-lesson", number, bool(more), list(entries)]:
                 if number == self.number() and self.position is None:
-                    self.on_lesson(n, wire, entries)
+                    self.on_lesson(sender, more, entries)
             case ["view-checked", int(nonce), int(number)]:
-                self.on_checked(sender, nonce, number)
+                self.confirmations.on_checked(sender, nonce, number)
             case _:
                 return False
         return True
+
+
+def first_bytes(entries: Iterable[Entry], most: int) -> Iterable[Entry]:
+    """The first of the entries, and those that follow while all are no longer than `most` bytes."""
+    taken = 0
+    for each in entries:
+        taken += each.size
+        if taken > most and taken > each.size:
+            return
+        yield each
--- a/plumline/coordination/contacts.py
+++ b/plumline/coordination/contacts.py
@@ -22,7 +22,7 @@
     synced: int = 0  # entries
     sick: bool = False  # its disk takes no writes
     leaving: bool = False
-    present: int = 0  # 1 if it is in the chain by its own view
+    present: int = 0  # as Chain.standing tells
     echoed: float = -1e9  # sending time of the newest ping of ours that it echoed
     steady_since: float = 0.0
     first_known: float = 0.0
@@ -101,6 +101,13 @@
         return now - max(peer.steady_since, peer.well_since) >= STEADY_FOR
 
     def in_touch(self, now: float, members: tuple[Member, ...]) -> bool:
-        """Whether a majority of these, this one counted if it is one, echoed lately."""
-        heard = sum(self.silent_for(now, address) < SUSPECT_AFTER for address, _ in members)
+        """Whether a majority of these, this one counted if it is one, echoed lately and has told its view."""
+        heard = sum(
+            self.silent_for(now, address) < SUSPECT_AFTER for address, _ in members if self.told(address)
+        )
         return 2 * heard > len(members)
+
+    def told(self, address: str) -> bool:
+        """Whether it has told a view to this life of the process: before that, it may know a newer one."""
+        peer = self.peers.get(address)
+        return address == self.me[0] or (peer is not None and peer.view > 0)
--- a/plumline/coordination/core.py
+++ b/plumline/coordination/core.py
@@ -86,12 +86,11 @@
             self.contacts.know(now, address)
         self.formation.tick(now)
         view = self.views.view
-        present = self.chain.position is not None
         self.contacts.tick(
             now,
             [
                 *(self.me[1], view.number if view else 0, self.chain.synced),
-                *(self.sick, self.keeper.leaving, int(present) + int(present and self.chain.caught_up)),
+                *(self.sick, self.keeper.leaving, self.chain.standing()),
             ],
         )
         self.keeper.tick(now, self.chain.synced, self.chain.committed, self.chain.caught_up)
--- /dev/null
+++ b/tests/test_transfer.py
@@ -0,0 +1,379 @@
+"""Whole states between registrars: pieces pulled one by one, over links that lose, double and reorder."""
+
+import random
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any
+from unittest.mock import patch
+
+import ormsgpack
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plumline.coordination import chain as chain_module
+from plumline.coordination import transfer as transfer_module
+from plumline.coordination.log import Log
+from plumline.coordination.transfer import (
+    FIRST_PATIENCE,
+    MOST_PATIENCE,
+    PIECE_BYTES,
+    PINNED_S,
+    Patience,
+    Piece,
+    Snapshot,
+    SnapshotReceiver,
+    SnapshotSender,
+    Wanted,
+)
+from plumline.errors import FrameError
+from tests.core_world import Node, World, explore, short_logs
+
+
+def wire_of(size: int, seed: int = 1) -> list[bytes]:
+    return [random.Random(seed).randbytes(size)]
+
+
+def carried(receiver: SnapshotReceiver, sender: SnapshotSender) -> tuple[Any, int]:
+    """The state that comes, and how many pieces were asked for."""
+    for asked in range(1, 10_000):
+        whole = receiver.take(sender.answer(0.0, receiver.wanted()))
+        if whole is not None:
+            return whole.wire(), asked
+    raise AssertionError("it never ends")
+
+
+def test_a_state_comes_whole_in_as_many_pieces_as_it_needs() -> None:
+    sender = SnapshotSender(lambda: (7, wire_of(1_000_000)), lambda number: True)
+    wire, asked = carried(SnapshotReceiver(), sender)
+    assert wire == wire_of(1_000_000)
+    assert asked == 1_000_000 // PIECE_BYTES + 1
+
+
+@given(st.randoms(use_true_random=False), st.integers(1, 400))
+def test_lost_doubled_and_reordered_pieces_cost_time_only(chance: random.Random, size: int) -> None:
+    with patch.object(transfer_module, "PIECE_BYTES", 16):
+        newest = 7
+        sender = SnapshotSender(lambda: (newest, wire_of(size, newest)), lambda number: number > newest - 4)
+        receiver = SnapshotReceiver()
+        on_the_way: list[Piece] = []
+        for step in range(20_000):
+            if step % 50 == 49 and newest < 20:
+                newest += 1
+            on_the_way.append(sender.answer(0.0, receiver.wanted()))
+            if chance.random() < 0.3:
+                on_the_way.append(sender.answer(0.0, receiver.wanted()))
+            chance.shuffle(on_the_way)
+            if chance.random() < 0.3:
+                on_the_way.pop()
+            while len(on_the_way) > 3:
+                whole = receiver.take(on_the_way.pop())
+                if whole is not None:
+                    assert whole.wire() == wire_of(size, whole.name.number)
+                    return
+        raise AssertionError("it never ends")
+
+
+def test_a_transfer_goes_on_with_another_that_has_the_same_state() -> None:
+    first = SnapshotSender(lambda: (7, wire_of(500_000)), lambda number: True)
+    second = SnapshotSender(lambda: (7, wire_of(500_000)), lambda number: True)
+    receiver = SnapshotReceiver()
+    for _ in range(4):
+        receiver.take(first.answer(0.0, receiver.wanted()))
+    held = receiver.wanted().offset
+    assert held == 4 * PIECE_BYTES
+    assert second.answer(0.0, receiver.wanted()).offset == held
+    assert carried(receiver, second)[1] == 500_000 // PIECE_BYTES + 1 - 4
+
+
+def test_one_snapshot_serves_all_that_ask_and_is_let_go() -> None:
+    made = []
+
+    def state() -> tuple[int, Any]:
+        made.append(1)
+        return 7, wire_of(300_000)
+
+    sender = SnapshotSender(state, lambda number: True)
+    for _ in range(5):
+        carried(SnapshotReceiver(), sender)
+    assert len(made) == 1
+    sender.tick(PINNED_S - 0.1)
+    assert sender.pinned is not None
+    sender.tick(PINNED_S + 0.1)
+    assert sender.pinned is None
+
+
+def test_a_snapshot_that_no_entries_lead_on_from_is_made_anew() -> None:
+    numbers, kept = iter([7, 30]), {7}
+    sender = SnapshotSender(lambda: (next(numbers), wire_of(100)), lambda number: number in kept)
+    assert sender.answer(0.0, Wanted()).name.number == 7
+    assert sender.answer(0.0, Wanted()).name.number == 7
+    kept.clear()
+    assert sender.answer(0.0, Wanted()).name.number == 30
+
+
+@pytest.mark.parametrize("wire", [[], [1, "d", 2, 0], [1, "d", 2, 0, "text"], ["1", "d", 2, 0, b""]])
+def test_a_malformed_piece_is_refused(wire: list[Any]) -> None:
+    with pytest.raises(FrameError):
+        Piece.from_wire(wire)
+
+
+def test_a_state_that_is_not_what_its_name_says_is_refused() -> None:
+    whole = Snapshot.of(7, wire_of(100))
+    with pytest.raises(FrameError):
+        Snapshot(whole.name, Snapshot.of(7, wire_of(100, seed=2)).data).wire()
+    large = Snapshot.of(7, [bytes(transfer_module.LARGEST_STATE + 1)])
+    with pytest.raises(FrameError):
+        large.wire()
+
+
+def test_answers_are_waited_for_longer_where_they_take_long_or_do_not_come() -> None:
+    patience = Patience()
+    assert patience.over(0.0)
+    patience.ask(0.0)
+    assert not patience.over(FIRST_PATIENCE - 0.01)
+    assert patience.over(FIRST_PATIENCE)
+    now, waits = 0.0, []
+    for _ in range(6):
+        patience.ask(now)
+        waits.append(patience.seconds)
+        now += patience.seconds
+    assert waits[-1] == MOST_PATIENCE
+    assert waits == sorted(waits)
+    patience.answered(now - patience.seconds + 0.5)
+    assert patience.seconds == 4 * 0.5
+
+
+# The log.
+
+
+def test_a_log_is_bounded_by_bytes_and_keeps_what_is_not_committed() -> None:
+    log = Log()
+    for number in range(1, 11):
+        log.append(number, ["x" * 1000])
+    log.trim(8, 512, 3000)
+    assert [each.number for each in log] == [9, 10]
+    log.trim(10, 1, 1 << 20)
+    assert [each.number for each in log] == [10]
+    assert (log.leads_on(9), log.leads_on(8), log.leads_on(15)) == (True, False, True)
+    log.drop_after(9)
+    assert (len(log), log.size()) == (0, 0)
+    log.append(10, ["x" * 1000])
+    assert log.size() == len(ormsgpack.packb(["x" * 1000]))
+    assert [each.number for each in log.between(9, 12)] == [10]
+
+
+# In the chain.
+
+
+@pytest.fixture
+def small_pieces() -> Iterator[None]:
+    """So small that every state takes several, as an explored one is only a few names."""
+    with (
+        patch.object(transfer_module, "PIECE_BYTES", 12),
+        patch.object(chain_module, "WINDOW_BYTES", 40),
+        patch.object(chain_module, "LESSON_BYTES", 30),
+    ):
+        yield
+
+
+@pytest.mark.usefixtures("small_pieces")
+@pytest.mark.parametrize("size", [3, 5])
+def test_explorer_finds_nothing_where_states_go_in_many_pieces(size: int) -> None:
+    counts = explore(range(50_000, 50_080), size, seconds=8.0)
+    assert counts["acknowledged"] > 160
+
+
+def bytes_of(world: World, *kinds: str) -> Counter[str]:
+    """Bytes that each machine was sent in messages of these kinds, since `spy` was set."""
+    found: Counter[str] = Counter()
+    for _, _, to, message in world.seen:
+        if message[0] in kinds:
+            found[to] += len(ormsgpack.packb(message))
+    return found
+
+
+TRANSFER = ("chain-entry", "chain-piece", "chain-lesson")
+
+
+class Thin:
+    """Gives each link of a world a rate: a message takes its bytes' time, after those before it."""
+
+    def __init__(self, world: World, bytes_per_s: float) -> None:
+        self.world, self.rate, self.free_at = world, bytes_per_s, {}
+        self.send, world.send = world.send, self.delayed
+
+    def delayed(self, sender: str, to: str, message: list[Any]) -> None:
+        size = len(ormsgpack.packb(message))
+        if message[0] not in TRANSFER:  # small ones pass between pieces
+            self.send(sender, to, message)
+            return
+        start = max(self.free_at.get((sender, to), 0.0), self.world.now)
+        end = self.free_at[sender, to] = start + size / self.rate
+        self.world.at(end - self.world.now, lambda: self.send(sender, to, message))
+
+
+def formed(seed: int = 1, size: int = 3) -> World:
+    world = World(seed, size, quiet=True)
+    world.settle()
+    return world
+
+
+def large_change(world: World, length: int) -> list[Any]:
+    """A change whose name is long and does not compress."""
+    change = world.change(len(world.ids(world.chain()[0])))
+    return [*change[:2], change[2] + random.Random(world.names).randbytes(length // 2).hex()]
+
+
+def put_large(world: World, length: int) -> None:
+    told: list[Any] = []
+    world.submit(world.nodes[world.chain()[0]], large_change(world, length), told.append)
+    assert world.go(30.0, lambda: bool(told))
+    assert told == [None]
+
+
+def without(name: str, changes: int, length: int) -> World:
+    """A world whose named machine is away while so many changes of this length are made."""
+    world = formed()
+    world.crash(world.nodes[name])
+    assert world.go(3.0, lambda: name not in world.chain())
+    for _ in range(changes):
+        put_large(world, length)
+    return world
+
+
+def holds_nothing_early(world: World, node: Node, wanted: int) -> None:
+    """While it lacks something, the machine neither answers a read nor counts as fresh or caught up."""
+    core = node.core
+    if core is None or len(core.chain.state.ids) >= wanted:
+        return
+    answers: list[Any] = []
+    world.read(node, answers.append)
+    assert answers in ([], [None])
+    assert not core.fresh(world.now + node.offset)
+    assert not (core.chain.is_head() and core.chain.can_commit() and not core.chain.caught_up)
+
+
+@pytest.mark.parametrize("wiped", [False, True])
+def test_a_member_that_was_away_for_a_thousand_changes_gets_one_state(wiped: bool) -> None:
+    world = without("c", 1000, 200)
+    state = len(Snapshot.of(1, world.nodes["a"].core.chain.state.to_wire()).data)
+    world.spy = True
+    if wiped:
+        world.wipe(world.nodes["c"])
+    began = world.now
+    world.start(world.nodes["c"])
+    while len(world.chain()) < 3:
+        world.go(0.02)
+        holds_nothing_early(world, world.nodes["c"], 1000)
+        assert world.now < began + 6.0
+    world.settle()
+    taken = bytes_of(world, *TRANSFER)["c"]
+    print("bytes", taken, "state", state, "seconds", round(world.now - began, 2))
+    assert taken < 1.1 * state + 2 * chain_module.LESSON_BYTES
+    assert world.ids("c") == world.ids("a")
+
+
+def test_changes_of_a_megabyte_leave_a_bounded_log_and_come_once() -> None:
+    world = without("c", 12, 1_000_000)
+    for name in "ab":
+        assert world.nodes[name].core.chain.log.size() <= chain_module.KEPT_BYTES
+    world.spy = True
+    world.start(world.nodes["c"])
+    world.settle()
+    taken = bytes_of(world, *TRANSFER)["c"]
+    state = 12_000_000
+    print("bytes", taken)
+    assert taken < 1.2 * state
+    assert world.ids("c") == world.ids("a")
+
+
+def test_over_a_thin_link_a_state_comes_in_the_time_that_its_bytes_take() -> None:
+    world = without("c", 600, 4_000)
+    Thin(world, 625_000)
+    world.spy = True
+    began = world.now
+    world.start(world.nodes["c"])
+    world.settle(within=20.0)
+    state = len(Snapshot.of(1, world.nodes["a"].core.chain.state.to_wire()).data)
+    taken, took = bytes_of(world, *TRANSFER)["c"], world.now - began
+    print("bytes", taken, "state", state, "seconds", round(took, 2))
+    assert state > 1_000_000
+    assert taken < 1.2 * state
+    assert took < state / 625_000 + 4.0
+
+
+def test_a_transfer_that_is_cut_off_goes_on_where_it_was() -> None:
+    world = without("c", 600, 4_000)
+    Thin(world, 625_000)
+    world.spy = True
+    c = world.nodes["c"]
+    world.start(c)
+    assert world.go(10.0, lambda: len(c.core.chain.transfer.receiver.data) > 600_000)
+    world.split("ab", "c")
+    world.go(1.0)
+    world.cut = set()
+    world.settle(within=20.0)
+    state = len(Snapshot.of(1, world.nodes["a"].core.chain.state.to_wire()).data)
+    taken = bytes_of(world, *TRANSFER)["c"]
+    print("bytes", taken, "state", state)
+    assert taken < 1.3 * state
+    assert world.ids("c") == world.ids("a")
+
+
+def test_a_learner_is_taken_in_only_when_little_is_left_over() -> None:
+    """Else the chain could commit nothing until a new tail has all that it lacks."""
+    world = without("c", 100, 10_000)  # fewer than a learner may lack by count
+    Thin(world, 125_000)
+    world.start(world.nodes["c"])
+    most = 0
+    while "c" not in world.chain():
+        world.go(0.01)
+    chain = world.nodes["a"].core.chain
+    most = chain.log.bytes_between(world.nodes["c"].core.chain.synced, chain.last)
+    assert most <= chain_module.LESSON_BYTES
+
+
+def test_a_successor_that_is_slow_is_sent_no_more_than_its_window() -> None:
+    world = formed()
+    Thin(world, 625_000)
+    world.spy = True
+    told: list[Any] = []
+    names: list[str] = list(world.ids("a"))
+    head = world.nodes[world.chain()[0]]
+    for _ in range(40):
+        change = ["set", len(names), f"x{len(names)}" + random.Random(len(names)).randbytes(50_000).hex()]
+        names.append(change[2])
+        world.submit(head, change, told.append)
+    most = 0
+    while len(told) < 40:
+        assert world.now < 60.0
+        world.go(0.005)
+        sent = head.core.chain.log.bytes_between(head.core.chain.reported, head.core.chain.sent)
+        most = max(most, sent)
+    assert told == [None] * 40
+    assert chain_module.WINDOW_BYTES // 2 < most <= chain_module.WINDOW_BYTES
+    for name in "bc":
+        sent = bytes_of(world, *TRANSFER)[name]
+        assert sent < 1.1 * 40 * 100_000, name  # each entry once
+    assert {len(world.ids(name)) for name in "abc"} == {40}
+
+
+@pytest.mark.usefixtures("small_pieces")
+def test_a_successor_far_behind_its_predecessor_pulls_the_state() -> None:
+    with short_logs():
+        world = formed()
+        for number in range(4):
+            world.put(number)
+        world.split("a", "b")  # b hears nothing of a, and is not taken out at once
+        world.cut = {("a", "b")}
+        world.cut = set()
+        world.crash(world.nodes["c"])
+        assert world.go(3.0, lambda: world.chain() == "ab")
+        for number in range(4, 40):
+            world.put(number)
+        world.spy = True
+        world.start(world.nodes["c"])
+        world.settle()
+        assert any(message[0] == "chain-piece" for _, _, to, message in world.seen if to == "c")
+        assert len(world.ids("c")) == 40
