--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import tracemalloc
 import zlib
 from typing import Any
 
@@ -187,12 +188,19 @@
     return framed(ormsgpack.packb(["packed", told, zlib.compress(bytes(size), 9)]))
 
 
+def wrongly_told(difference: int) -> bytes:
+    """A sound message, compressed, with another size than it has."""
+    body = ormsgpack.packb(["entry", "x" * 1000])
+    return framed(ormsgpack.packb(["packed", len(body) + difference, zlib.compress(body)]))
+
+
 @pytest.mark.parametrize(
     "data",
     [
         bomb(100_000_000, frames.LARGEST),
-        bomb(1000, 999),
-        bomb(1000, 1001),
+        wrongly_told(1),
+        wrongly_told(1000),
+        wrongly_told(-1),
         framed(ormsgpack.packb(["packed", 100, b"no zlib"])),
         framed(ormsgpack.packb(["packed", "100", b""])),
         framed(ormsgpack.packb(["packed", 100])),
@@ -211,6 +219,18 @@
         Unpacker().feed(data)
 
 
+def test_a_body_that_expands_to_more_than_it_tells_takes_no_memory() -> None:
+    data = bomb(200_000_000, 1000)
+    tracemalloc.start()
+    try:
+        with pytest.raises(FrameError):
+            Unpacker().feed(data)
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < 5_000_000
+
+
 def test_pieces_of_more_than_the_largest_body_are_refused() -> None:
     received = Unpacker()
     piece = framed(ormsgpack.packb(["piece", True, bytes(1024 * 1024)]))
