--- a/plumline/coordination/core.py
+++ b/plumline/coordination/core.py
@@ -86,12 +86,11 @@
             self.contacts.know(now, address)
         self.formation.tick(now)
         view = self.views.view
-        present = self.chain.position is not None
         self.contacts.tick(
             now,
             [
                 *(self.me[1], view.number if view else 0, self.chain.synced),
-                *(self.sick, self.keeper.leaving, int(present) + int(present and self.chain.caught_up)),
+                *(self.sick, self.keeper.leaving, self.chain.standing()),
             ],
         )
         self.keeper.tick(now, self.chain.synced, self.chain.committed, self.chain.caught_up)
@@ -146,7 +145,9 @@
     def fresh(self, now: float) -> bool:
         """Whether what this registrar has is the newest, as far as a majority in touch shows."""
         view = self.views.view
-        if view is None or self.chain.position is None or not self.has_majority(now):
+        if view is None or self.chain.position is None:
+            return False
+        if not self.contacts.know_views(now, view.acceptors):
             return False
         newer = any(
             peer.view > view.number and now - peer.echoed < SUSPECT_AFTER
