Split the explorer's world from its random schedules and its small state

The world of hand-stepped cores, the schedules and the small state are modules of their own; links, disks and the step have hooks for schedules to come.

--- a/tests/core_world.py
+++ b/tests/core_world.py
@@ -8,55 +8,22 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from functools import partial
 from random import Random
 from typing import Any
 from unittest.mock import patch
 
 from plumline.coordination import chain as chain_module
+from plumline.coordination.ballot import Terms
 from plumline.coordination.core import Core
 from plumline.coordination.effects import Member, Message, Record
 from plumline.coordination.view import View
 from plumline.errors import PlumlineError, VersionConflictError
+from tests.core_register import NoEffects, Register, ViolationError
 
 TICK_S = 0.05
-CALM_S = 10.0  # simulated time for a chain with copies enough, and an acknowledged change, after the troubles
 KEPT = 4  # entries that explored chains keep, so that whole states are sent too
 
 
-class ViolationError(Exception):
-    """An invariant is broken."""
-
-
-@dataclass(frozen=True, slots=True)
-class Register:
-    """A small stand-in for the configuration: a change is ["set", based_on, id], a version a count of ids."""
-
-    ids: tuple[str, ...] = ()
-
-    def check(self, change: list[Any]) -> bool:
-        """True if taken before; VersionConflictError if it builds on another version."""
-        _, based_on, name = change
-        if name in self.ids:
-            return True
-        if based_on != len(self.ids):
-            raise VersionConflictError(f"{based_on} is not {len(self.ids)}")
-        return False
-
-    def apply(self, change: list[Any]) -> "Register":
-        _, based_on, name = change
-        if based_on != len(self.ids):
-            raise ViolationError(f"{change} applied to version {len(self.ids)}")
-        return Register((*self.ids, name))
-
-    def to_wire(self) -> list[str]:
-        return list(self.ids)
-
-    @staticmethod
-    def load(wire: list[str]) -> "Register":
-        return Register(tuple(wire))
-
-
 @dataclass
 class Node:
     """A machine: its process (None while it is down) and its disk."""
@@ -73,6 +40,7 @@
     lost: bool = False  # lost its disk, and is not yet a caught-up member of the chain again
     known_elsewhere: bool = False
     starting: bool = False  # its incarnation is being written
+    gone: bool = False  # for good, with what its disk held
 
     def knows_view(self) -> bool:
         return any(record[0] == "view" for record in (*self.disk, *(each for each, _ in self.unsynced)))
@@ -100,7 +68,7 @@
             done = nothing
         item = (record, done)
         self.node.unsynced.append(item)
-        delay = self.world.random.choice(self.world.syncs)
+        delay = self.world.sync_delay(self.node)
         self.world.at(delay, lambda: self.world.sync(self.node, self.life, item))
 
 
@@ -149,6 +117,7 @@
         self.refused: set[str] = set()
         self.tried: list[list[Any]] = []
         self.names = 0
+        self.leases: dict[str, Terms] = {}
         if quiet:
             self.loss, self.twice, self.slow, self.syncs, self.jitter = 0.0, 0.0, 0.0, (0.002,), 0.0
             self.troubles_per_s = 0.0
@@ -184,7 +153,7 @@
 
     def start(self, node: Node) -> None:
         """A machine with an empty disk first writes its new incarnation; only a synced one is told."""
-        if node.core is not None or node.starting:
+        if node.core is not None or node.starting or node.gone:
             return
         node.life += 1
         if node.disk:
@@ -218,7 +187,7 @@
             NodeEffects(self, node),
             Register(),
             Register.load,
-            {},
+            self.leases,
             self.now + node.offset,
             Random(self.random.random()),
             lambda number, change: self.on_applied(node, number, change),
@@ -254,12 +223,16 @@
 
     def tick(self, node: Node, life: int) -> None:
         def step() -> None:
+            self.before_tick(node)
             node.core.tick(self.now + node.offset)
             self.after(node)
             self.at(TICK_S, lambda: self.tick(node, life))
 
         self.guard(node, life, step)
 
+    def before_tick(self, node: Node) -> None:
+        """What its surroundings tell a core before a step."""
+
     def sync(self, node: Node, life: int, item: tuple[Record, Callable[[], None]]) -> None:
         """Everything up to that record is on the disk."""
         if node.life != life or node.core is None or not any(each is item for each in node.unsynced):
@@ -284,11 +257,24 @@
             self.at(0.0, lambda: self.deliver(sender, to, message))
             return
         for _ in range(2 if self.random.random() < self.twice else 1):
-            if (sender, to) in self.cut or self.random.random() < self.loss:
+            if self.is_cut(sender, to) or self.random.random() < self.loss:
                 continue
-            slow = self.random.random() < self.slow
-            delay = self.random.uniform(0.05, 1.5) if slow else 0.001 + self.random.random() * self.jitter
-            self.at(delay, lambda: self.deliver(sender, to, message))
+            delay = self.link_delay(sender, to)
+            self.at(delay, lambda sent=self.now: self.arrive(sent, sender, to, message))
+
+    def is_cut(self, sender: str, to: str) -> bool:
+        return (sender, to) in self.cut
+
+    def link_delay(self, sender: str, to: str) -> float:
+        slow = self.random.random() < self.slow
+        return self.random.uniform(0.05, 1.5) if slow else 0.001 + self.random.random() * self.jitter
+
+    def sync_delay(self, node: Node) -> float:
+        return self.random.choice(self.syncs)
+
+    def arrive(self, sent: float, sender: str, to: str, message: Message) -> None:
+        """What was sent at that time reaches the other machine."""
+        self.deliver(sender, to, message)
 
     def deliver(self, sender: str, to: str, message: Message) -> None:
         node = self.nodes[to]
@@ -330,18 +316,6 @@
         """Cuts the sides, strings of names, off from each other."""
         self.cut = {(a, b) for one in sides for other in sides if one != other for a in one for b in other}
 
-    def may_wipe(self, node: Node) -> bool:
-        if sum(each.lost for each in self.nodes.values()) >= self.copies - 1 or node.lost:
-            return False
-        if self.any_wipe or not self.newest:
-            return True
-        others = [each for each in self.nodes.values() if each is not node]
-        return all(each.core for each in others) and not self.in_doubt() and any(map(self.holds_all, others))
-
-    def in_doubt(self) -> bool:
-        """Whether some acceptor holds a view that may be decided yet, with whoever is lost meanwhile."""
-        return any(each.core and each.core.views.accepted for each in self.nodes.values())
-
     def holds_all(self, node: Node) -> bool:
         """Whether it is a caught-up member of the newest chain."""
         core, view = node.core, self.newest
@@ -349,47 +323,6 @@
             return False
         return core.chain.position is not None and core.chain.caught_up and node.me in view.acceptors
 
-    def trouble(self) -> None:
-        if not self.troubles_on:
-            return
-        self.at(self.random.expovariate(self.troubles_per_s), self.trouble)
-        node = self.random.choice(list(self.nodes.values()))
-        if self.newest and self.random.random() < 0.5:
-            node = self.nodes[self.random.choice(self.newest.chain)[0]]
-        kinds = "crash crash freeze freeze cut cut heal oneway alone wipe wipe outage bounce"
-        kind = self.random.choice(kinds.split())
-        names = list(self.nodes)
-        match kind:
-            case "crash":
-                self.crash(node)
-                self.at(self.random.choice([0.01, 0.5, 2.0, 6.0]), lambda: self.start(node))
-            case "bounce":
-                self.crash(node)
-                self.start(node)
-            case "outage":
-                for each in self.nodes.values():
-                    self.crash(each)
-                    self.at(self.random.choice([0.01, 0.5, 2.0]), lambda each=each: self.start(each))
-            case "freeze" if node.core:
-                self.freeze(node, self.random.choice([0.3, 1.0, 2.0, 4.0]))
-            case "cut":
-                some = set(self.random.sample(names, self.random.randint(1, len(names) // 2)))
-                self.split("".join(sorted(some)), "".join(sorted(set(names) - some)))
-            case "alone":
-                one, other = self.random.sample(names, 2)
-                self.cut |= {(one, other), (other, one)}
-            case "oneway":
-                one, other = self.random.sample(names, 2)
-                self.cut.add((one, other))
-            case "heal":
-                self.cut = set()
-            case "wipe" if self.may_wipe(node):
-                self.wipe(node)
-                self.at(self.random.choice([0.01, 0.5, 2.0, 6.0]), lambda: self.start(node))
-            case _:
-                return
-        self.counts[kind] += 1
-
     # Operators
 
     def submit(
@@ -456,32 +389,6 @@
         if node.core and self.now >= node.thaws_at:
             node.core.chain.read(told)
 
-    def operate(self) -> None:
-        """Somebody asks some registrar for something."""
-        if not self.troubles_on:
-            return
-        self.at(self.random.expovariate(6.0), self.operate)
-        asked = self.random.choice(list(self.nodes.values()))
-        if asked.core is None or self.now < asked.thaws_at:
-            return
-        if self.random.random() < 0.4:
-            to = asked.core.tail()
-            if to and (asked.name, to) not in self.cut:
-                self.read(self.nodes[to])
-            return
-        to = asked.core.head()
-        if not to or (asked.name, to) in self.cut:
-            return
-        if self.tried and self.random.random() < 0.3:
-            change = self.random.choice(self.tried[-5:])
-        else:
-            known = [len(each.core.chain.state.ids) for each in self.nodes.values() if each.core]
-            based_on = max(known) if self.random.random() < 0.8 else self.random.choice(known)
-            change = self.change(based_on)
-            self.tried.append(change)
-        if change[2] not in self.refused:
-            self.submit(self.nodes[to], change)
-
     # Invariants
 
     @property
@@ -530,75 +437,6 @@
         if change[2] in self.committed.values():
             raise ViolationError(f"{change[2]}, which is in force, is refused")
 
-    # A schedule
-
-    def run(self, seconds: float) -> None:
-        """Troubles for so long, then calm; ViolationError with the seed."""
-        try:
-            self.troubles_on = True
-            self.at(self.random.random() * 4, self.trouble)
-            self.at(self.random.random(), self.operate)
-            self.go(seconds)
-            self.calm()
-        except (ViolationError, AssertionError, IndexError, KeyError, TypeError, ValueError) as error:
-            raise ViolationError(
-                f"seed {self.seed}, {len(self.nodes)} machines, at {self.now:.3f} s: {error!r}"
-            ) from error
-
-    def calm(self) -> None:
-        self.troubles_on, self.cut, self.syncs = False, set(), (0.005,)
-        self.loss = self.twice = self.slow = self.jitter = 0.0
-        for node in self.nodes.values():
-            node.thaws_at = min(node.thaws_at, self.now)
-            self.start(node)
-        done: list[list[Any]] = []
-
-        def answered(change: list[Any], error: PlumlineError | None) -> None:
-            if error is None:
-                done.append(change)
-
-        def try_one() -> None:
-            if done:
-                return
-            self.at(0.25, try_one)
-            for node in self.nodes.values():
-                if node.core and node.core.chain.is_head() and node.core.views.view == self.newest:
-                    change = self.change(len(node.core.chain.newest.ids))
-                    self.submit(node, change, partial(answered, change))
-
-        try_one()
-
-        def well() -> bool:
-            return bool(done) and self.newest is not None and len(self.newest.chain) >= self.copies
-
-        if not self.go(CALM_S, well):
-            state = {
-                node.name: (
-                    node.me[1],
-                    node.core.views.view and node.core.views.view.number,
-                    node.core.chain.caught_up,
-                )
-                for node in self.nodes.values()
-                if node.core
-            }
-            raise ViolationError(
-                f"no change is acknowledged {CALM_S} s after the troubles: {self.newest} {state}"
-            )
-        answers: list[Register] = []
-
-        def read() -> None:
-            if not answers:
-                self.at(0.25, read)
-                tail = self.nodes[self.newest.chain[-1][0]]
-                self.read(tail, lambda state: answers.append(state) if state is not None else None)
-
-        read()
-        if not self.go(CALM_S, lambda: bool(answers)):
-            raise ViolationError(f"no read is answered {CALM_S} s after the troubles: {self.newest}")
-        missing = [name for name in self.acknowledged if name not in answers[0].ids]
-        if missing:
-            raise ViolationError(f"{missing} were acknowledged and are lost")
-
 
 def on_disk(node: Node) -> tuple[str, ...]:
     """What a core that starts from this disk would hold, committed or not."""
@@ -611,28 +449,7 @@
     return found.newest.ids
 
 
-class NoEffects:
-    def send(self, to: str, message: Message) -> None:
-        raise AssertionError(f"sends {message} to {to}")
-
-    def persist(self, record: Record, done: Callable[[], None]) -> None:
-        raise AssertionError(f"writes {record}")
-
-
 @contextmanager
 def short_logs() -> Iterator[None]:
     with patch.object(chain_module, "KEPT_ENTRIES", KEPT):
         yield
-
-
-def explore(numbers: range, size: int, *, seconds: float = 8.0, **kwargs: Any) -> Counter[str]:  # noqa: ANN401
-    """Runs a schedule for each number, its seed, and counts what happened in them."""
-    counts: Counter[str] = Counter()
-    with short_logs():
-        for seed in numbers:
-            world = World(seed, size, **kwargs)
-            world.run(seconds)
-            counts += world.counts
-            counts["schedules"] += 1
-            counts["views"] += len(world.views)
-    return counts
--- a/tests/test_core_explorer.py
+++ b/tests/test_core_explorer.py
@@ -15,7 +15,8 @@
 from plumline.coordination.effects import Member
 from plumline.coordination.formation import ASK_EVERY, Formation
 from plumline.coordination.view import Ballot, View, Views
-from tests.core_world import ViolationError, explore
+from tests.core_register import ViolationError
+from tests.core_schedule import explore
 
 TIMES = float(os.environ.get("PLUMLINE_SCHEDULES", "1"))
 
