--- a/plumline/coordination/topics.py
+++ b/plumline/coordination/topics.py
@@ -11,11 +11,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Told:
+    """What a topic holds, and its number."""
+
     number: Number
     payload: Any
 
 
 class Topics:
+    """The newest that this process knows of each topic."""
+
     def __init__(self) -> None:
         self.told: dict[str, Told] = {}
 
@@ -42,4 +46,5 @@
         return term, known.number[1] + 1
 
     def messages(self) -> list[list[Any]]:
+        """A message for each topic that is known."""
         return [["topic", name, list(each.number), each.payload] for name, each in self.told.items()]
--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -12,7 +12,7 @@
 from plumline.configuration.state import State
 from plumline.coordination.ballot import Terms
 from plumline.coordination.core import Core
-from plumline.coordination.effects import Message, Record
+from plumline.coordination.effects import Member, Message, Record
 from plumline.coordination.topics import Topics
 from plumline.coordination.view import View
 from plumline.counters import Counters
@@ -51,17 +51,34 @@
         self.settings, self.settings_file = settings, settings_file or SettingsFile(None)
         self.loop = asyncio.get_running_loop()
         self.counters, self.topics = Counters(), Topics()
-        self.chance = random.Random(secrets.randbits(64))
         host, port = settings.internal_address
         self.address = f"{host}:{port}"
         self.writer: Writer = MemoryWriter()
         self.known = asyncio.Event()  # the incarnation is on the disk, and so may be told
         records, incarnation = self.open_store()
-        me = (self.address, incarnation)
-        greeting = hello(settings.node_name, "registrar", self.address, settings.zone)
-        self.mesh = Mesh(
+        self.mesh = self._make_mesh()
+        self.core = self._make_core((self.address, incarnation))
+        self.feed = Feed(self.core.chain, self.topics, self.counters, settings.heartbeat_interval_ms / 1000)
+        if settings.data_directory is not None:
+            self.writer = DurableWriter(self.file, self.loop, self.image)
+            self.persist(["incarnation", incarnation], self.known.set)
+        self.operators = Operators(self.core, self.send, self.counters)
+        self.zones: dict[str, str] = {self.address: settings.zone}  # of registrars, by address
+        self.elsewhere: dict[str, tuple[float, dict[str, Work]]] = {}  # followers of other registrars
+        self.caller = Caller(self.loop.time)
+        self._make_jobs()
+        self.server: Server | None = None
+        self.stopping = asyncio.Event()
+        self.holding: dict[str, int | None] = {}
+        self.addresses_of: dict[str, Any] | None = None  # the configuration that `addresses` are from
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.core.restore(records)  # may commit, and tell, what is on the disk
+
+    def _make_mesh(self) -> Mesh:
+        settings = self.settings
+        return Mesh(
             self.address,
-            greeting,
+            hello(settings.node_name, "registrar", self.address, settings.zone),
             self.receive,
             self.link_up,
             self.follower_up,
@@ -69,8 +86,11 @@
             self.follower_down,
             self.counters,
         )
+
+    def _make_core(self, me: Member) -> Core:
+        settings = self.settings
         rest = settings.bounds.lease_duration_ms / 1000 + MARGIN
-        self.core = Core(
+        return Core(
             me=me,
             seeds=settings.seeds,
             copies=settings.machine_losses + 1,
@@ -83,19 +103,15 @@
                 "weights": Terms(WEIGHTS_LEASE, rest),
             },
             now=self.loop.time(),
-            chance=self.chance,
+            chance=random.Random(secrets.randbits(64)),
             applied=self.applied,
             changed=self.view_changed,
             known_elsewhere=lambda: self.feed.told_place > 0,
         )
-        self.feed = Feed(self.core.chain, self.topics, self.counters, settings.heartbeat_interval_ms / 1000)
-        if settings.data_directory is not None:
-            self.writer = DurableWriter(self.file, self.loop, self.image)
-            self.persist(["incarnation", incarnation], self.known.set)
-        self.operators = Operators(self.core, self.send, self.counters)
-        self.zones: dict[str, str] = {self.address: settings.zone}  # of registrars, by address
-        self.elsewhere: dict[str, tuple[float, dict[str, Work]]] = {}  # followers of other registrars
-        self.caller = Caller(self.loop.time)
+
+    def _make_jobs(self) -> None:
+        """The jobs of the leases; each asks at every act whether its lease is held."""
+        settings = self.settings
         self.discovery = Discovery(settings, self.caller, self.may_discover, self.found_endpoints)
         self.stores = Stores(
             self.caller,
@@ -115,12 +131,6 @@
             self.loop.time,
             apply_s=settings.bounds.version_apply_ms / 1000,
         )
-        self.server: Server | None = None
-        self.stopping = asyncio.Event()
-        self.holding: dict[str, int | None] = {}
-        self.addresses_of: dict[str, Any] | None = None  # the configuration that `addresses` are from
-        self.addresses: dict[str, tuple[str, int]] = {}
-        self.core.restore(records)  # may commit, and tell, what is on the disk
 
     # The store.
 
@@ -136,19 +146,23 @@
         return [record for record in records if record[0] != "incarnation"], self.incarnation
 
     def image(self) -> list[Record]:
+        """All records that a rewritten file holds."""
         return [["incarnation", self.incarnation], *self.core.records()]
 
     # Effects.
 
     def send(self, to: str, message: Message) -> None:
+        """Sends to a registrar by address; the core's effect."""
         self.mesh.send(to, message)
 
     def persist(self, record: Record, done: Callable[[], None]) -> None:
+        """Calls `done` once the record is synced; the core's effect."""
         self.writer.submit([record], done)
 
     # Messages.
 
     def receive(self, sender: str, message: Message) -> None:
+        """Dispatches a message of a registrar, this one included."""
         now = self.loop.time()
         try:
             if self.core.on_message(now, sender, message):
@@ -172,15 +186,18 @@
             self.counters.add("frames.malformed")
 
     def link_up(self, address: str) -> None:
+        """Tells a registrar that has just been linked to what it can't know."""
         link = self.mesh.links[address]
         link.send(["zone", self.settings.zone])
         for each in self.topics.messages():
             link.send(each)
 
     def follower_up(self, link: FrameLink) -> None:
+        """A router has connected."""
         self.feed.came(link, self.loop.time())
 
     def follower_says(self, link: FrameLink, message: list[Any]) -> None:
+        """Dispatches a message of a router."""
         if message == ["hurry"]:
             self.mesh.send_all(["hurry"])
             self.discovery.hurry()
@@ -192,11 +209,13 @@
         self.feed.heard(link, message, self.loop.time())
 
     def follower_down(self, link: FrameLink) -> None:
+        """A router's connection has ended."""
         self.feed.went(link)
 
     # Soft topics.
 
     def take_topic(self, name: str, number: tuple[int, int], payload: Any) -> None:  # noqa: ANN401
+        """Takes a soft topic that another registrar tells, if it is newer, and tells the routers."""
         if not self.topics.offer(name, number, payload):
             return
         self.feed.tell_topic(name)
@@ -205,6 +224,7 @@
         self.weights.poke()
 
     def tell_topic(self, name: str, term: int, payload: Any) -> None:  # noqa: ANN401
+        """Publishes a soft topic as the holder of the lease of this term."""
         number = self.topics.next_number(name, term)
         if number is None:
             self.counters.add("topics.term-over")
@@ -219,6 +239,7 @@
         return self.held("discovery") is not None or self.topics.payload("roster") is None
 
     def found_endpoints(self, roster: list[dict[str, Any]]) -> None:
+        """Publishes a whole list of endpoints that this registrar has read."""
         if (term := self.held("discovery")) is not None:
             self.tell_topic("roster", term, roster)
         elif self.topics.payload("roster") is None and roster:
@@ -228,6 +249,7 @@
         self.weights.poke()
 
     def store_addresses(self) -> dict[str, tuple[str, int]]:
+        """The addresses of the cache stores, by name, from the configuration."""
         document = self.core.chain.state.configuration
         if document is not self.addresses_of:
             self.addresses_of = document
@@ -236,10 +258,12 @@
         return self.addresses
 
     def found_stores(self, stores: dict[str, dict[str, Any]]) -> None:
+        """Publishes which stores are up."""
         if (term := self.held("discovery")) is not None:
             self.tell_topic("stores", term, stores)
 
     def store_changed(self, address: tuple[str, int], epoch: int, lost: bool, changes: list[Any]) -> None:
+        """Passes a store's events on to all routers."""
         if lost:
             self.counters.add("stores.events-lost")
         told = [each for each in changes if each[3] >= TOLD_PART or each[0] == "-"]
@@ -250,26 +274,31 @@
             self.mesh.send_all(news)
 
     def publish_marks(self, marks: dict[str, dict[str, Any]]) -> None:
+        """Publishes which endpoints are moving to other weights."""
         if (term := self.held("weights")) is not None:
             self.tell_topic("marks", term, marks)
 
     # The core's news.
 
     def held(self, lease: str) -> int | None:
+        """The term of the lease if this registrar may act for it right now."""
         return self.core.ballots.holds(lease, self.loop.time())
 
     def applied(self, number: int, change: list[Any] | None) -> None:
+        """An entry, or with None a whole state, is committed here."""
         self.feed.applied(number, change)
         self.weights.poke()
         self.stores.wake()
 
     def view_changed(self, view: View) -> None:
+        """Logs a new view."""
         chain = ",".join(address for address, _ in view.chain)
         log.info(logs.words("view", number=view.number, chain=chain, acceptors=len(view.acceptors)))
 
     # Loops.
 
     async def step_forever(self) -> None:
+        """Drives the core and tells what is due."""
         beat_at = told_at = summary_at = 0.0
         while True:
             now = self.loop.time()
@@ -293,6 +322,7 @@
             await asyncio.sleep(STEP)
 
     def note_leases(self, now: float) -> None:
+        """Wakes the jobs of a lease that was won or lost."""
         for name in ("discovery", "weights"):
             held = self.core.ballots.holds(name, now)
             if held != self.holding.get(name):
@@ -303,6 +333,7 @@
                 self.weights.poke()
 
     def beat(self, now: float) -> None:
+        """Beats to the routers, and opens dead links anew."""
         for address in list(self.mesh.links):
             if self.core.contacts.unheard_for(now, address) > DEAD_LINK:
                 self.core.contacts.know(now, address)
@@ -371,4 +402,5 @@
 
 
 async def run(settings: Settings, settings_file: SettingsFile | None = None) -> None:
+    """Runs a registrar until SIGTERM."""
     await Registrar(settings, settings_file).run()
--- a/plumline/registrar/discovery.py
+++ b/plumline/registrar/discovery.py
@@ -52,6 +52,8 @@
 
 
 class BoundsLike(Protocol):
+    """The bounds of the deployment that this job needs."""
+
     @property
     def drain_ms(self) -> float: ...
 
@@ -154,6 +156,7 @@
         self._never = asyncio.Event()
 
     def wake(self) -> None:
+        """The lease was won or lost."""
         self._event.set()
 
     def hurry(self) -> None:
@@ -162,6 +165,7 @@
         self._event.set()
 
     async def run(self) -> None:
+        """Until cancelled."""
         while True:
             self._event.clear()
             await self.pause(self._event, await self.turn())
--- a/plumline/registrar/operators.py
+++ b/plumline/registrar/operators.py
@@ -37,11 +37,13 @@
         self.tasks: set[asyncio.Task[None]] = set()
 
     def handle(self, exchange: Exchange) -> None:
+        """Serves a request that has been read whole."""
         task = self.loop.create_task(self.serve(exchange))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
     async def serve(self, exchange: Exchange) -> None:
+        """Answers a request, by the type of the error if there is one."""
         name = INCOMING.get((exchange.method, exchange.path))
         try:
             if name is None:
@@ -62,6 +64,7 @@
     def respond(
         self, exchange: Exchange, status: int, headers: list[tuple[bytes, bytes]], body: bytes
     ) -> None:
+        """Writes the answer, unless the caller has left."""
         if not exchange.gone:
             exchange.respond(status, headers, body)
 
@@ -79,6 +82,7 @@
         return await self.result(lambda outcome: self.relay.submit(now, change, size, outcome))
 
     async def read(self) -> Document:
+        """The configuration; UnavailableError where there is none yet."""
         now = self.loop.time()
         document = await self.result(lambda outcome: self.relay.read(now, outcome))
         if document is None:
@@ -102,6 +106,7 @@
 
     @staticmethod
     def based_on(exchange: Exchange) -> int:
+        """The version that a change builds on; ConfigurationInvalidError unless the header names one."""
         wanted = BASED_ON_VERSION.lower().encode()
         found = [value for key, value in exchange.headers if key == wanted]
         if len(found) != 1 or not found[0].isdigit() or len(found[0]) > LONGEST_VERSION:
--- a/plumline/registrar/relay.py
+++ b/plumline/registrar/relay.py
@@ -40,6 +40,8 @@
 
 
 class Relay:
+    """Asks the head or the tail for the requests that arrived here, and answers those that others ask."""
+
     def __init__(self, core: Core, send: Callable[[str, list[Any]], None]) -> None:
         """`send(address, message)`: to a registrar, also to this one."""
         self.core, self.send = core, send
--- a/plumline/registrar/stores.py
+++ b/plumline/registrar/stores.py
@@ -89,21 +89,25 @@
     bad: int = 0  # unreadable answers in a row
 
     def heard(self, epoch: int, token: int) -> None:
+        """A readable answer came."""
         # The token is taken as it comes, also a lower one: a later `Since` than the store's own would get
         # no event until the store has caught up, and so hide a restart that kept its epoch.
         self.up, self.epoch, self.since, self.bad = True, epoch, token, 0
 
     def busy(self) -> None:
+        """It answers that it holds too many calls: it is alive."""
         if not self.up:
             self.epoch = 0  # it may have come back as another
         self.up, self.bad = True, 0
 
     def garbled(self) -> None:
+        """An unreadable answer came."""
         self.bad += 1
         if self.bad >= MOST_BAD:
             self.up = False
 
     def failed(self) -> None:
+        """No answer came."""
         self.up, self.bad = False, 0
 
 
@@ -140,6 +144,7 @@
         self._never = asyncio.Event()
 
     def wake(self) -> None:
+        """The lease was won or lost, or the configuration changed."""
         self._event.set()
 
     async def run(self) -> None:
@@ -172,6 +177,7 @@
         return min(LOOK_S, max(self.told_at + REFRESH_S - self.clock(), 0.0)) if self.told else LOOK_S
 
     def states(self) -> States:
+        """What is known of each store, as it is published."""
         return {
             name: {"up": store.up, "epoch": store.epoch}
             for name, store in self.known.items()
--- a/plumline/registrar/weights.py
+++ b/plumline/registrar/weights.py
@@ -57,6 +57,8 @@
 
 
 class Phase(StrEnum):
+    """Where an endpoint stands on its way to other weights."""
+
     CHECKING = "checking"  # unknown what it does: a report has to tell
     ANNOUNCED = "announced"
     ORDERED = "ordered"
@@ -97,6 +99,7 @@
 
 
 def backoff(tries: int) -> float:
+    """s to wait after so many tries in a row without effect."""
     return min(MOST_BACKOFF_S, FIRST_BACKOFF_S * 2 ** min(tries - 1, 8))
 
 
@@ -385,6 +388,7 @@
         self._event.set()
 
     async def run(self) -> None:
+        """Until cancelled."""
         try:
             while True:
                 self._event.clear()
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -19,7 +19,9 @@
 from plumline.errors import ConfigurationInvalidError, PlumlineError, VersionConflictError
 from plumline.registrar.relay import Relay
 from tests import core_world
-from tests.core_world import KEPT, TICK_S, Node, ViolationError, World
+from tests.core_register import ViolationError
+from tests.core_schedule import Schedule
+from tests.core_world import KEPT, TICK_S, Node
 
 Ask = Callable[[Relay, float, Callable[..., None]], None]
 Told = Callable[[PlumlineError | None, Any], None]
@@ -155,7 +157,7 @@
         self.world.at(SILENCE_S + min(1.0, 0.05 * 2 ** min(tries, 5)), again)
 
 
-class ControlWorld(World):
+class ControlWorld(Schedule):
     """`relay`: the class of relay that every registrar has."""
 
     def __init__(self, seed: int, size: int = 3, *, relay: type[Relay] = Relay, **kwargs: Any) -> None:  # noqa: ANN401
--- a/tests/test_control_explorer.py
+++ b/tests/test_control_explorer.py
@@ -24,7 +24,7 @@
 )
 from plumline.registrar import relay as relay_module
 from tests.control_world import ControlWorld, explore_control, short_memory
-from tests.core_world import ViolationError
+from tests.core_register import ViolationError
 
 TIMES = float(os.environ.get("PLUMLINE_SCHEDULES", "1"))
 FEW = 8  # repeats remembered, so that many are forgotten
