Count a request's time from when it came, fractions too, and let no unknown configuration say 413 or 431

Cause: a request sent ahead of the answer before had its time counted from its turn on, so that endpoints were told more time than its client had; a time with a fraction counted as none told, so that the route's time went on; a router that knew no configuration refused by narrow limits what the configuration may allow. Change: the time runs from the first byte's arrival; decimals are read; the limits are wide until told.

--- a/plumline/router/admission.py
+++ b/plumline/router/admission.py
@@ -10,6 +10,7 @@
 from plumline.routing.loads import Part, output_tokens, parse_parts, prompt_tokens
 from plumline.routing.shares import Standing, priority
 from plumline.wire.exchange import Exchange
+from plumline.wire.http import decimal
 
 NOT_YET = 0.3  # s a client is told where no configuration is here yet
 MOST_RANK = 4  # ranks from here on count alike: an endpoint knows ten, two for each
@@ -126,9 +127,8 @@
 def told_time(headers: Headers) -> float:
     """Ms that the client waits, infinite if it doesn't say."""
     told = value_of(headers, b"remaining-milliseconds")
-    if told and told.isdigit() and len(told) < 12:
-        return float(told)
-    return float("inf")
+    ms = decimal(told.decode("latin-1")) if told else None
+    return float("inf") if ms is None else ms
 
 
 def read_prompt(headers: Headers, aim_ms: float) -> Prompt:
--- a/plumline/router/app.py
+++ b/plumline/router/app.py
@@ -16,7 +16,8 @@
 
 MEMORY_SHARE = 1 / 4  # of the process's memory that bodies may take at once
 SUMMARY = 10.0  # s between summaries of the counters
-UNTOLD_LIMITS = FixedLimits()
+#: Until a configuration is known: wide, so that a request that it will allow is told 503, not 413 or 431.
+UNTOLD_LIMITS = FixedLimits(header_bytes=64 * 1024, body_bytes=16 * 1024 * 1024)
 
 log = logs.logger("router")
 
--- a/plumline/wire/server.py
+++ b/plumline/wire/server.py
@@ -75,7 +75,8 @@
         self.phase = Phase.IDLE
         self.buffer = bytearray()
         self.searched = 0  # bytes of it that hold no head's end
-        self.began = 0.0
+        self.came = 0.0  # when the first byte that is left in the buffer was read, or one before it
+        self.began = 0.0  # the same of the request at hand
         self.head: RequestHead | None = None
         self.chunks: ChunkedBody | None = None
         self.held = 0  # bytes of the body counted in the server's sum
@@ -117,6 +118,8 @@
             if self.dropped > LINGER_BYTES:
                 self.transport.pause_reading()
             return
+        if not self.buffer:
+            self.came = self.loop.time()
         self.buffer += memoryview(self.server.buffer)[:size]
         self.advance()
         if self.phase is Phase.ANSWER and len(self.buffer) > AHEAD_BYTES:
@@ -157,7 +160,7 @@
                 if not self.buffer or self.buffer == b"\r":
                     return
                 self.limits = self.server.limits()
-                self.began = self.loop.time()
+                self.began = self.came  # its client counts the time that it waited for the answer before
                 self.searched = 0
                 self.phase = Phase.HEAD
             body = self.read_body() if self.phase is Phase.BODY or self.read_head() else None
--- a/tests/test_wire_properties.py
+++ b/tests/test_wire_properties.py
@@ -13,7 +13,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from wire_world import World
+from wire_world import World, answer_well, cut_short, resume_oddly
 
 from plumline.router.job import Job
 from plumline.router.progress import Progress
@@ -55,6 +55,12 @@
     assert {(200, True), (200, False), (400, True), (502, True), (503, True), (504, True), (0, False)} <= ends
     assert repeats > 50 and gone > 20
 
+    assert not any(World(seed, BROKEN_STREAMS).play() for seed in range(30))
+
+
+#: More of what only streams of several runs meet.
+BROKEN_STREAMS = [(answer_well, 3), (cut_short, 6), (resume_oddly, 3)]
+
 
 @dataclass(frozen=True)
 class Guard:
@@ -64,6 +70,7 @@
     method: str
     text: str
     without: str
+    streams: bool = False  # only streams of several runs show it
 
     def __str__(self) -> str:
         return f"{self.owner.__name__}.{self.method}: {' '.join(self.text.split())[:50]}"
@@ -104,11 +111,11 @@
     Guard(UpstreamConnection, "end", "self.wake()", 'self.codec.receive_data(b"")\n        self.wake()'),
     Guard(Job, "give_up", "self.exchange.abort()", "self.exchange.finish()"),
     # A stream of several runs.
-    Guard(Send, "receive", " and is_event_stream(headers)", ""),
-    Guard(EventJoiner, "begin", 'self.held, self.joined = b"", ', "self.joined = "),
-    Guard(EventJoiner, "feed", "if self.joined and self.last is not None:", "if False:"),
-    Guard(EventJoiner, "feed", "held[:end], held[end:]", 'held, b""'),
-    Guard(EventJoiner, "may_join", "return self.placed and ", "return "),
+    Guard(Send, "receive", " and is_event_stream(headers)", "", streams=True),
+    Guard(EventJoiner, "begin", 'self.held, self.joined = b"", ', "self.joined = ", streams=True),
+    Guard(EventJoiner, "feed", "if self.joined and self.last is not None:", "if False:", streams=True),
+    Guard(EventJoiner, "feed", "held[:end], held[end:]", 'held, b""', streams=True),
+    Guard(EventJoiner, "may_join", "return self.placed and ", "return ", streams=True),
     # One request at a time on a connection; nothing for a client that has gone, or after its time.
     Guard(Connection, "advance", "self.phase in (Phase.ANSWER, Phase.LEAVING) or ", ""),
     Guard(Job, "client_gone", "self.progress.connection.close()", "pass"),
@@ -120,4 +127,5 @@
 @pytest.mark.parametrize("guard", GUARDS, ids=str)
 def test_without_a_guard_a_run_shows_it(guard: Guard, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(guard.owner, guard.method, guard.taken_out())
-    assert any(World(seed).play() for seed in range(MOST_SEEDS))
+    acts = BROKEN_STREAMS if guard.streams else None
+    assert any(World(seed, acts).play() for seed in range(MOST_SEEDS))
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -561,8 +561,12 @@
 class World:
     """One run."""
 
-    def __init__(self, seed: int, acts: list[tuple[Act, int]] | None = None) -> None:
+    def __init__(
+        self, seed: int, acts: list[tuple[Act, int]] | None = None, unreachable: int | None = None
+    ) -> None:
+        """`unreachable`: how many endpoints no connection to comes up."""
         self.chance = random.Random(seed)
+        self.unreachable = self.chance.choice([0, 0, 0, 1]) if unreachable is None else unreachable
         self.acts = acts or ACTS
         self.asked: dict[str, Asked] = {}
         self.arrivals: list[Arrival] = []
@@ -608,6 +612,8 @@
         refusing = self.chance.randrange(3 * ENDPOINTS)
         if refusing < ENDPOINTS:
             loop.listeners["10.0.1.1", 1000 + refusing] = None
+        for number in range(self.unreachable):
+            loop.listeners.pop(("10.0.1.1", 1000 + number), None)
         fleet.take_roster(roster)
         self.dispatcher = Dispatcher(
             settings, fleet, Counters(), loop.time, random.Random(4), budget=self.allowance
@@ -700,7 +706,7 @@
         over = asked.left or asked.ended
         if any(each.done > max(over, each.at) + LATE_S for each in arrivals):
             self.fault("an endpoint left at work")
-        if not asked.left and asked.ended > asked.sent + 2 * TIMEOUT_S + LATE_S:
+        if not asked.left and asked.ended > asked.sent + TIMEOUT_S + LATE_S:
             self.fault("an answer after the route's time", asked.id)
         if asked.status == 200:
             self.judge_success(asked, ran)
