--- /dev/null
+++ b/tests/test_calls_properties.py
@@ -0,0 +1,160 @@
+"""Calls of registrars to endpoints, stores and the platform against a peer that answers at random: each call
+has its own answer or a failure, and no call goes out twice. The bytes come by hand, over pairs of sockets.
+"""
+
+import asyncio
+import json
+import random
+import socket
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from plumline.wire.calls import ATTEMPT_ID, Answer, Caller, CallFailedError
+from plumline.wire.http import Address, Connection
+
+CALLS_EACH = 12
+NAMES = ("report", "report", "order", "kv_events", "instances")
+ADDRESSES: tuple[Address, ...] = (("10.0.0.1", 80), ("10.0.0.2", 80))
+
+
+@dataclass
+class RandomPeer:
+    """Serves every connection, and keeps what came on each."""
+
+    chance: random.Random
+    served: list[tuple[int, int, bytes]] = field(default_factory=list)  # connection, call, first line
+    connections: int = 0
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    async def open(self, address: Address) -> Connection:
+        """Stands in for `Connection.open`."""
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        theirs.setblocking(False)
+        self.connections += 1
+        self.tasks.append(asyncio.create_task(self.serve(theirs, self.connections)))
+        return Connection.adopt(ours, address)
+
+    async def serve(self, sock: socket.socket, number: int) -> None:
+        loop, buffer = asyncio.get_running_loop(), b""
+        with sock:
+            while data := await loop.sock_recv(sock, 65536):
+                buffer += data
+                head, found, rest = buffer.partition(b"\r\n\r\n")
+                if not found:
+                    continue
+                lines = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
+                length = int(lines.get(b"content-length", b"0"))
+                if len(rest) < length:
+                    continue
+                buffer = rest[length:]
+                id_ = lines[b"attempt-id"]
+                self.served.append((number, int(id_), head.split(b"\r\n")[0]))
+                answer, ends = self.draw(id_)
+                await loop.sock_sendall(sock, answer)
+                if ends:
+                    return
+
+    def draw(self, id_: bytes) -> tuple[bytes, bool]:
+        """The bytes of an answer, and whether the connection ends with them."""
+        chance = self.chance
+        body = json.dumps({"call": int(id_)}).encode()
+        named = b"Attempt-Id: %b\r\n" % id_ if chance.random() < 0.5 else b""
+        whole = b"HTTP/1.1 200 OK\r\n%bContent-Length: %d\r\n\r\n%b" % (named, len(body), body)
+        chunked = b"HTTP/1.1 200 OK\r\n%bTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (
+            named,
+            len(body),
+            body,
+        )
+        other = b'HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{"call": 999}'
+        return chance.choice(
+            [
+                (whole, False),
+                (whole, False),
+                (chunked, False),
+                (whole, True),  # closed unannounced
+                (whole.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n"), True),
+                (whole.replace(b"OK\r\n", b"OK\r\nKeep-Alive: timeout=0\r\n"), False),
+                (b"HTTP/1.1 103 Early\r\n\r\n" * chance.randrange(1, 20) + whole, False),
+                (whole + other, False),
+                (whole + b"more", False),
+                (chunked + other[: chance.randrange(1, len(other))], False),
+                (whole[: chance.randrange(len(whole))], True),
+                (chunked[: chance.randrange(len(chunked))], True),
+                (whole.replace(b"Content-Length", b"X-Length"), True),
+                (whole.replace(b"OK\r\n", b"OK\r\nContent-Length: 3\r\n"), False),
+                (whole.replace(b"OK\r\n", b"OK\r\nAttempt-Id: 999\r\n"), False),
+                (b"not an answer\r\n\r\n", False),
+                (b"HTTP/1.1 200 OK\r\nX: " + b"x" * 20000, False),
+            ]
+        )
+
+
+async def play(seed: int, monkeypatch: pytest.MonkeyPatch) -> tuple[RandomPeer, list[Answer | None]]:
+    chance = random.Random(seed)
+    peer, caller = RandomPeer(chance), Caller()
+    monkeypatch.setattr(Connection, "open", peer.open)
+    found: list[Answer | None] = []
+    try:
+        async with asyncio.timeout(10):
+            for number in range(CALLS_EACH):
+                name, address = chance.choice(NAMES), chance.choice(ADDRESSES)
+                try:
+                    headers = {ATTEMPT_ID: str(number)}
+                    found.append(await caller.call(name, address, headers=headers, timeout_s=5))
+                except CallFailedError as error:
+                    assert error.sent
+                    found.append(None)
+    finally:
+        caller.close()
+        await asyncio.gather(*peer.tasks, return_exceptions=True)
+    return peer, found
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.integers(0, 2**48))
+def test_each_call_has_its_own_answer_or_fails_and_goes_out_once(seed: int) -> None:
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        peer, found = asyncio.run(play(seed, monkeypatch))
+    for number, answer in enumerate(found):
+        assert answer is None or (answer.status, answer.json) == (200, {"call": number})
+    assert sorted(call for _, call, _ in peer.served) == list(range(CALLS_EACH))
+    first: dict[int, bytes] = {}
+    for connection, _, line in peer.served:
+        assert not line.startswith(b"POST /order") or connection not in first
+        first.setdefault(connection, line)
+
+
+def failing(seeds: int) -> int:
+    """How many of so many seeds see a call's answer given to another, or a call that hangs."""
+    count = 0
+    for seed in range(seeds):
+        with pytest.MonkeyPatch.context() as monkeypatch:
+            try:
+                _, found = asyncio.run(play(seed, monkeypatch))
+            except AssertionError:
+                count += 1
+                continue
+        count += any(each is not None and each.json != {"call": n} for n, each in enumerate(found))
+    return count
+
+
+@pytest.mark.parametrize("guards", [("ended", "next_cycle")])
+def test_without_its_guards_a_kept_connection_gives_one_calls_answer_to_another(
+    guards: tuple[str, str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each of the two finds what the other lets pass: bytes behind an answer, and bytes that came later."""
+
+    def next_cycle(connection: Connection) -> bool:
+        if connection.codec.their_state is not connection.codec.our_state:
+            return False
+        connection.codec.start_next_cycle()
+        return True
+
+    assert failing(20) == 0
+    monkeypatch.setattr(Connection, "ended", lambda _: False)
+    monkeypatch.setattr(Connection, "next_cycle", next_cycle)
+    assert failing(20) > 0
