--- a/plumline/router/job.py
+++ b/plumline/router/job.py
@@ -28,6 +28,7 @@
         self.timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
+        """From admission to the one answer that the exchange is owed."""
         exchange, progress = self.exchange, self.progress
         try:
             admitted = admit(self.router, exchange, self.id)
@@ -52,11 +53,13 @@
             exchange.on_gone = None
 
     def count(self, name: str) -> None:
+        """One more request that ended so."""
         self.router.counters.add(f"request-{name}")
 
     # The ends that come from outside.
 
     def expire(self) -> None:
+        """Its time is up."""
         self.progress.expired = True
         if self.progress.connection:
             self.progress.connection.close()
@@ -64,6 +67,7 @@
             self.exchange.abort()  # also wakes who waits for a client that doesn't read
 
     def client_gone(self) -> None:
+        """Its client has left."""
         self.progress.gone = True
         if self.progress.connection:
             self.progress.connection.close()  # the endpoint drops the request
@@ -71,6 +75,7 @@
     # Sends.
 
     async def work(self, request: Request) -> None:
+        """Sends until one of them brought the answer, or none may follow."""
         router, progress, held = self.router, self.progress, False
         selection = Selection(router, request, progress)
         route = request.route
@@ -119,6 +124,7 @@
             self.answer(504 if progress.expired else 502, "late" if progress.expired else "unclear")
 
     def answer(self, status: int, name: str, come_back: float | None = None) -> None:
+        """An answer of our own, with `Retry-After` where `come_back` (s) is told."""
         self.count(name)
         headers: Headers = [(b"content-type", b"text/plain; charset=utf-8")]
         if self.id is not None:
--- a/plumline/router/progress.py
+++ b/plumline/router/progress.py
@@ -38,6 +38,7 @@
     connection: UpstreamConnection | None = None  # of the send under way
 
     def may_send(self, route: Route) -> bool:
+        """Whether the request may be sent to one more endpoint; more than once only what may run again."""
         if self.sends >= route.attempt_limit or self.connects >= MOST_CONNECTS:
             return False
         if self.started and not (self.joiner and self.joiner.may_join()):
--- a/plumline/router/relay.py
+++ b/plumline/router/relay.py
@@ -34,6 +34,7 @@
 
 
 def named_in_connection(headers: Headers) -> frozenset[bytes]:
+    """The headers that `Connection` says concern this connection only."""
     named = [value for key, value in headers if key == b"connection"]
     if not named:
         return NO_NAMES
@@ -119,6 +120,7 @@
         return b"" if rest and self.joined and not self.is_new(rest) else rest
 
     def split(self, whole: bytes) -> list[bytes]:
+        """The single events of this text."""
         events, event = [], b""
         for line in whole.splitlines(keepends=True):
             event += line
--- a/plumline/router/send.py
+++ b/plumline/router/send.py
@@ -109,13 +109,16 @@
         router.tell(["placed", self.number, self.endpoint.id, self.salt.text, parts, missing, self.saves])
 
     def count(self, name: str) -> None:
+        """One more send that ended so."""
         self.router.counters.add(f"send-{name}")
 
     def still_there(self) -> bool:
+        """Whether the endpoint is listed and takes new requests."""
         listed = self.router.fleet.endpoints.get(self.endpoint.id)
         return listed is not None and not listed.draining and not listed.moving
 
     async def run(self) -> Proof:
+        """Sends the request and relays its answer."""
         connection = self.sent_on_kept() or await self.sent_on_new()
         if connection is None:
             return Proof.NOT_RUN
@@ -232,11 +235,13 @@
         return Proof.MAY_HAVE_RUN
 
     def spoilt(self, name: str) -> Proof:
+        """What came is no answer to go on with, and it proves nothing."""
         self.count(name)
         self.router.outcomes.failed(self.call, self.router.clock(), error=True)
         return Proof.MAY_HAVE_RUN
 
     async def receive(self, connection: UpstreamConnection) -> Proof:
+        """Judges the head of the answer; the body of a good one is relayed. Raises UpstreamError."""
         request, progress, router = self.request, self.progress, self.router
         response = await connection.event()
         assert isinstance(response, h11.Response)
@@ -294,6 +299,7 @@
         return Proof.NOT_RUN
 
     def could_repeat(self) -> bool:
+        """Whether another endpoint could be sent the request now."""
         if self.progress.sends >= self.request.route.attempt_limit:
             return False
         return self.selection.pick(self.router.clock())[0] is not None
@@ -304,42 +310,54 @@
         if not progress.started:
             resumable = is_event_stream(headers) and status == 200 and self.request.route.resumable
             progress.joiner = EventJoiner() if resumable else None
-        joiner = progress.joiner
-        if joiner:
-            joiner.begin()
+        if progress.joiner:
+            progress.joiner.begin()
         # An event stream without a length that stops within an event has broken off.
         needs_end = is_event_stream(headers) and not is_framed(self.request.method, status, headers)
-        tail = b""
-        while True:
+        tail, ended = b"", False
+        while not ended:
             event = await connection.event()
-            if isinstance(event, h11.Data):
-                if not self.wrote:
-                    self.first_piece()
-                data = bytes(event.data)
-                tail = (tail + data)[-LONGEST_END:]
-                if joiner:
-                    data = joiner.feed(data)
-                if not data:
-                    continue
-            elif isinstance(event, h11.EndOfMessage):
-                if needs_end and not ends_event(tail):
-                    raise UpstreamError("the stream ends within an event")
-                data = joiner.rest() if joiner else b""
-            else:
+            if isinstance(event, h11.Response):
                 raise UpstreamError("a head within an answer")
+            ended = isinstance(event, h11.EndOfMessage)
+            if isinstance(event, h11.Data):
+                tail = (tail + bytes(event.data))[-LONGEST_END:]
+            elif needs_end and not ends_event(tail):
+                raise UpstreamError("the stream ends within an event")
+            data = self.part_of(event)
+            if not (data or ended):
+                continue
             if progress.gone or exchange.done:
                 return self.cut_off()
-            if not progress.started:
-                progress.started = True
-                exchange.start(status, answer_headers(headers, with_length=joiner is None))
-            if data:
-                exchange.write(data)
-            if isinstance(event, h11.EndOfMessage):
-                break
-            await exchange.drain()
+            self.pass_on(status, headers, data)
+            if not ended:
+                await exchange.drain()
             if progress.gone or exchange.done:
                 return self.cut_off()
-        exchange.finish()
+        return self.answered(connection, status, headers)
+
+    def part_of(self, event: h11.Data | h11.EndOfMessage) -> bytes:
+        """What an event of the answer adds to what the client gets."""
+        joiner = self.progress.joiner
+        if isinstance(event, h11.EndOfMessage):
+            return joiner.rest() if joiner else b""
+        if not self.wrote:
+            self.first_piece()
+        data = bytes(event.data)
+        return joiner.feed(data) if joiner else data
+
+    def pass_on(self, status: int, headers: Headers, data: bytes) -> None:
+        """Writes a part of the answer to the client, behind the head of its first run."""
+        progress, exchange = self.progress, self.request.exchange
+        if not progress.started:
+            progress.started = True
+            exchange.start(status, answer_headers(headers, with_length=progress.joiner is None))
+        if data:
+            exchange.write(data)
+
+    def answered(self, connection: UpstreamConnection, status: int, headers: Headers) -> Proof:
+        """The answer has come to its end, and so does the client's."""
+        self.request.exchange.finish()
         self.count(f"answered-{status // 100}xx")
         if status >= 500:
             self.router.outcomes.failed(self.call, self.router.clock(), error=True)
@@ -354,6 +372,7 @@
         return Proof.ANSWERED
 
     def first_piece(self) -> None:
+        """The first bytes of the body have come: the prompt is read."""
         self.wrote = True
         self.release()
         now = self.router.clock()
@@ -362,6 +381,7 @@
         self.router.shares.ended(self.request.service, excess_ms > self.request.route.aim_ms / 2)
 
     def keep(self, connection: UpstreamConnection, headers: Headers) -> None:
+        """Gives the connection back for as long as the answer allows."""
         self.progress.connection = None
         idle = idle_time(headers) if self.endpoint.id in self.router.fleet.endpoints else 0.0
         self.router.pool.give_back(self.endpoint.id, connection, idle, self.router.clock())
--- a/plumline/router/upstream.py
+++ b/plumline/router/upstream.py
@@ -67,10 +67,12 @@
         self.on_idle_end: Callable[[], None] | None = None  # the pool's, while it is kept
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The transport's call: the connection is up."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
     def data_received(self, data: bytes) -> None:
+        """The transport's call. What comes while no request is out ends the connection."""
         if not self.busy:  # nobody asked: these bytes belong to no request
             self.close()
             return
@@ -82,15 +84,18 @@
         self.wake()
 
     def eof_received(self) -> bool:
+        """The transport's call: the peer has closed its side."""
         if self.busy and not self.ended:
             self.codec.receive_data(b"")  # the end of an answer that tells no length
         self.end()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        """The transport's call, after a reset too: no answer is whole by it."""
         self.end()
 
     def end(self) -> None:
+        """Tells whoever waits for an event, or keeps the idle connection, that it is over."""
         if not self.ended:
             self.ended = True
             self.wake()
@@ -98,10 +103,12 @@
                 self.on_idle_end()
 
     def wake(self) -> None:
+        """Lets whoever waits for an event look again."""
         if self.waiter and not self.waiter.done():
             self.waiter.set_result(None)
 
     def usable(self) -> bool:
+        """Whether a request could be sent now, as far as the loop knows."""
         return not (self.ended or self.busy or self.transport is None or self.transport.is_closing())
 
     def has_unread(self) -> bool:
@@ -196,6 +203,7 @@
         self.open: dict[str, int] = {}  # taken, idle and coming up
 
     def has_idle(self, key: str, now: float) -> bool:
+        """Whether a kept connection to `key` could be used now."""
         kept = self.idle.get(key)
         return bool(kept) and any(each.usable() and each.kept_until > now for each in kept or ())
 
@@ -248,11 +256,13 @@
             self.drop(key, connection)
 
     def drop(self, key: str, connection: UpstreamConnection) -> None:
+        """Closes a connection that was taken or kept."""
         connection.on_idle_end = None
         connection.close()
         self.forget_one(key)
 
     def forget_one(self, key: str) -> None:
+        """One connection to `key` fewer is open."""
         if (left := self.open.get(key, 0) - 1) > 0:
             self.open[key] = left
         else:
@@ -274,4 +284,5 @@
                 del self.idle[key]
 
     def close(self) -> None:
+        """Closes all idle connections."""
         self.sweep(0.0, ())
--- a/plumline/wire/calls.py
+++ b/plumline/wire/calls.py
@@ -199,9 +199,7 @@
         connection: Connection | None = None
         try:
             async with asyncio.timeout(timeout_s) as whole:
-                connection = self._reused(address) if row.matched else None
-                if connection is None:
-                    connection = await self._opened(address, min(connect_s, timeout_s))
+                connection = await self._connected(row, address, min(connect_s, timeout_s))
                 if prepare:
                     body = prepare()
                 data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
@@ -227,6 +225,11 @@
             elif connection:
                 connection.close()
 
+    async def _connected(self, row: Call, address: Address, connect_s: float) -> Connection:
+        """A kept connection, or a new one."""
+        kept = self._reused(address) if row.matched else None
+        return kept or await self._opened(address, connect_s)
+
     async def _opened(self, address: Address, connect_s: float) -> Connection:
         try:
             async with asyncio.timeout(connect_s):
@@ -276,6 +279,7 @@
             idle.connection.close()
 
     def close(self) -> None:
+        """Closes the idle connections."""
         for idle in self.idle.values():
             idle.connection.close()
         self.idle.clear()
--- a/plumline/wire/exchange.py
+++ b/plumline/wire/exchange.py
@@ -7,7 +7,7 @@
 import asyncio
 import re
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Protocol
 
@@ -64,6 +64,7 @@
 
 
 def malformed(text: str) -> RequestRefusedError:
+    """The refusal of what can't be read for sure."""
     return RequestRefusedError(text)
 
 
@@ -96,44 +97,59 @@
         raise RequestRefusedError("HTTP/1.1 is spoken here", 505)
     modern = event.http_version == b"1.1"
     headers = list(event.headers)
-    length: int | None = 0
-    host, connection, expect, coded, sized = b"", b"", b"", False, False
+    fields = read_fields(headers)
+    if fields.sized:
+        check_length(head)
+    if fields.coded and fields.sized:
+        raise malformed("both Content-Length and Transfer-Encoding")
+    if fields.coded and not modern:
+        raise malformed("Transfer-Encoding in HTTP/1.0")
+    length = None if fields.coded else fields.length
+    return RequestHead(
+        method=event.method.decode("ascii"),
+        target=origin_form(event.method, event.target, fields.host),
+        host=bare_host(fields.host),
+        headers=headers,
+        length=length,
+        persistent=modern and b"close" not in fields.options,
+        modern=modern,
+        expects=modern and fields.expects and length != 0,
+    )
+
+
+@dataclass(slots=True)
+class HeadFields:
+    """What the headers say of the connection and of the body's framing."""
+
+    host: bytes = b""
+    length: int = 0
+    sized: bool = False  # a length is told
+    coded: bool = False  # the body comes in chunks
+    options: list[bytes] = field(default_factory=list)  # of `Connection`
+    expects: bool = False
+
+
+def read_fields(headers: Headers) -> HeadFields:
+    """Raises RequestRefusedError for what is not spoken here."""
+    fields = HeadFields()
     for name, value in headers:
         if name == b"host":
-            host = value
+            fields.host = value
             if not AUTHORITY.fullmatch(value):
                 raise malformed("no valid Host")
         elif name == b"content-length":
-            length, sized = int(value), True
+            fields.length, fields.sized = int(value), True
         elif name == b"transfer-encoding":
-            coded = True
+            fields.coded = True
         elif name == b"connection":
-            connection += b"," + value.lower()
+            fields.options += [each.strip() for each in value.lower().split(b",")]
         elif name == b"expect":
-            expect = value.lower()
+            fields.expects = bool(value)
+            if value and value.lower() != b"100-continue":
+                raise RequestRefusedError("an expectation that can't be met", 417)
         elif name == b"upgrade":
             raise RequestRefusedError("no other protocol is spoken here", 501)
-    if sized:
-        check_length(head)
-    if coded:
-        if sized:
-            raise malformed("both Content-Length and Transfer-Encoding")
-        if not modern:
-            raise malformed("Transfer-Encoding in HTTP/1.0")
-        length = None
-    if expect and expect != b"100-continue":
-        raise RequestRefusedError("an expectation that can't be met", 417)
-    options = [each.strip() for each in connection.split(b",")]
-    return RequestHead(
-        method=event.method.decode("ascii"),
-        target=origin_form(event.method, event.target, host),
-        host=bare_host(host),
-        headers=headers,
-        length=length,
-        persistent=modern and b"close" not in options,
-        modern=modern,
-        expects=modern and bool(expect) and length != 0,
-    )
+    return fields
 
 
 def check_length(head: bytes) -> None:
@@ -147,6 +163,7 @@
 
 
 def bare_host(authority: bytes) -> str:
+    """The host of an authority, lower-case and without a port."""
     text = authority.decode("ascii").lower()
     return text[: text.find("]") + 1] if text.startswith("[") else text.partition(":")[0]
 
@@ -219,6 +236,7 @@
         return False
 
     def count_dropped(self, size: int) -> None:
+        """Bounds the bytes that belong to no body. Raises RequestRefusedError."""
         self.trailing += size
         if self.trailing > TRAILER_BYTES:
             raise RequestRefusedError("extensions and trailers are too long", 431, "header-too-long")
@@ -248,9 +266,13 @@
         """The lines that speak of the connection, and whether it stands after this answer."""
         ...
 
-    def answered(self, stays: bool) -> None: ...
+    def answered(self, stays: bool) -> None:
+        """The answer has gone out to its end, or was aborted; whether the connection stands."""
+        ...
 
-    async def writable(self) -> None: ...
+    async def writable(self) -> None:
+        """Returns once little enough of the answer waits for the client."""
+        ...
 
 
 class Exchange:
--- a/plumline/wire/http.py
+++ b/plumline/wire/http.py
@@ -63,6 +63,7 @@
 
 
 async def readable(sock: socket.socket) -> None:
+    """Returns once something can be read from the socket, its end included."""
     loop, ready, descriptor = asyncio.get_running_loop(), asyncio.Event(), sock.fileno()
     loop.add_reader(descriptor, ready.set)
     try:
@@ -72,6 +73,7 @@
 
 
 async def writable(sock: socket.socket) -> None:
+    """Returns once the socket takes bytes again."""
     loop, ready = asyncio.get_running_loop(), asyncio.Event()
     loop.add_writer(sock, ready.set)
     try:
@@ -91,6 +93,7 @@
 
     @classmethod
     async def open(cls, address: Address) -> "Connection":
+        """A new connection. Raises OSError."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
@@ -130,6 +133,7 @@
                 await writable(self.sock)
 
     async def receive(self) -> None:
+        """Waits for bytes, or the end, and hands them to the codec."""
         # Bytes leave the system only in the task that handles them, and `send` is told in its own of the
         # last one written: whoever ends a call, or hands it over, between two turns knows how far it is.
         while True:
@@ -156,6 +160,7 @@
         return event
 
     async def next_event(self) -> h11.Event:
+        """The next event, waited for."""
         while (event := self.read_event()) is None:
             await self.receive()
         return event
@@ -232,6 +237,7 @@
         return True
 
     def close(self) -> None:
+        """Ends the connection."""
         self.sock.close()
 
     def reset(self) -> None:
--- a/plumline/wire/server.py
+++ b/plumline/wire/server.py
@@ -37,13 +37,24 @@
     """What a client may send, and how long it may take."""
 
     @property
-    def header_bytes(self) -> int: ...
+    def header_bytes(self) -> int:
+        """The most that a head may have."""
+        ...
+
     @property
-    def body_bytes(self) -> int: ...
+    def body_bytes(self) -> int:
+        """The most that a body may have."""
+        ...
+
     @property
-    def header_ms(self) -> float: ...
+    def header_ms(self) -> float:
+        """From a head's first byte to its last."""
+        ...
+
     @property
-    def idle_ms(self) -> float: ...
+    def idle_ms(self) -> float:
+        """Between requests, and between two parts of a body."""
+        ...
 
 
 class FixedLimits(NamedTuple):
@@ -91,6 +102,7 @@
     # The transport's calls.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The transport's call: the client is here."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         transport.set_write_buffer_limits(high=UNREAD_BYTES, low=UNREAD_BYTES // 4)
@@ -101,6 +113,7 @@
         self.expire_in(self.limits.idle_ms / 1000)
 
     def connection_lost(self, error: Exception | None) -> None:
+        """The transport's call: the client's connection is over."""
         self.server.connections.discard(self)
         if self.timer:
             self.timer.cancel()
@@ -110,9 +123,11 @@
         self.server.note_left()
 
     def get_buffer(self, sizehint: int) -> bytearray:
+        """The transport's call: where to read to."""
         return self.server.buffer
 
     def buffer_updated(self, size: int) -> None:
+        """The transport's call: so many bytes have come."""
         if self.phase is Phase.LEAVING:
             self.dropped += size
             if self.dropped > LINGER_BYTES:
@@ -138,10 +153,12 @@
         return False
 
     def pause_writing(self) -> None:
+        """The transport's call: the client leaves too much unread."""
         if self.room is None:
             self.room = self.loop.create_future()
 
     def resume_writing(self) -> None:
+        """The transport's call: the client has read on."""
         if self.room is not None:
             room, self.room = self.room, None
             if not room.done():
@@ -225,6 +242,7 @@
         return None
 
     def hand_over(self, body: bytes) -> None:
+        """The request is whole: the handler owes its answer from now on."""
         assert self.head is not None
         exchange = self.exchange = Exchange(self, self.head, body, self.began)
         self.head = self.chunks = None
@@ -244,6 +262,7 @@
     # Answering.
 
     def connection_headers(self, persistent: bool) -> tuple[bytes, bool]:
+        """For the exchange; see `Carrier`."""
         if not persistent or self.server.ending:
             return b"Connection: close\r\n\r\n", False
         stands = int(self.limits.idle_ms / 1000 - IDLE_MARGIN)
@@ -271,6 +290,7 @@
                 self.loop.call_soon(self.advance)
 
     async def writable(self) -> None:
+        """For the exchange; see `Carrier`."""
         if self.transport.is_closing():
             return
         if self.room is None and self.transport.get_write_buffer_size() > UNREAD_BYTES:
@@ -304,6 +324,7 @@
             self.expire_in(self.limits.idle_ms / 1000 if self.unsent else LINGER)
 
     def tell_gone(self) -> None:
+        """The client has left, with or without a request at hand."""
         exchange, self.exchange = self.exchange, None
         self.release()
         self.resume_writing()
@@ -312,6 +333,7 @@
             exchange.client_gone()
 
     def release(self) -> None:
+        """The body at hand is not counted as held any more."""
         self.server.held -= self.held
         self.held = 0
 
@@ -325,6 +347,7 @@
             self.timer = self.loop.call_at(self.deadline, self.expire)
 
     def expire(self) -> None:
+        """The timer: ends what has waited too long for its client."""
         self.timer = None
         if self.phase is Phase.ANSWER:
             return  # the handler's own time; the answer sets the timer again
@@ -387,10 +410,12 @@
         )
 
     def address(self) -> tuple[str, int]:
+        """Where it listens."""
         assert self.listener is not None
         return self.listener.getsockname()
 
     def count(self, code: str) -> None:
+        """One more of this error."""
         self.counters[code] = self.counters.get(code, 0) + 1
 
     def begin_ending(self) -> None:
@@ -415,6 +440,7 @@
         self.listener = self.accepting = None
 
     def adopted(self, task: asyncio.Task[object]) -> None:
+        """A connection that waited to be accepted is up, or has ended before."""
         self.adopting.discard(task)
         if not task.cancelled():
             task.exception()  # one that ended before it was up has nothing to tell
@@ -434,6 +460,7 @@
         return bool(self.adopting) or bool(self.connections)
 
     def note_left(self) -> None:
+        """Wakes `drained` once nobody is owed an answer."""
         if self.empty is not None and not self.empty.done() and not self.busy():
             self.empty.set_result(None)
 
