--- a/plumline/wire/calls.py
+++ b/plumline/wire/calls.py
@@ -201,9 +201,7 @@
         connection: Connection | None = None
         try:
             async with asyncio.timeout(timeout_s) as whole:
-                connection = self._reused(address) if row.matched else None
-                if connection is None:
-                    connection = await self._opened(address, min(connect_s, timeout_s))
+                connection = await self._connected(row, address, min(connect_s, timeout_s))
                 connection.give_up_after(timeout_s)
                 if prepare:
                     body = prepare()
@@ -230,6 +228,11 @@
             elif connection:
                 connection.close()
 
+    async def _connected(self, row: Call, address: Address, connect_s: float) -> Connection:
+        """A kept connection, or a new one."""
+        kept = self._reused(address) if row.matched else None
+        return kept or await self._opened(address, connect_s)
+
     async def _opened(self, address: Address, connect_s: float) -> Connection:
         try:
             async with asyncio.timeout(connect_s):
@@ -279,6 +282,7 @@
             idle.connection.close()
 
     def close(self) -> None:
+        """Closes the idle connections."""
         for idle in self.idle.values():
             idle.connection.close()
         self.idle.clear()
