Keep what a removed member may be alone to hold until it learns what was committed

Change: they are dropped when a lesson of the new chain comes, or when the machine joins the chain; till then a learner tells and asks by what it has committed.

--- a/plumline/coordination/chain.py
+++ b/plumline/coordination/chain.py
@@ -93,7 +93,7 @@
     # The view.
 
     def install(self, view: View) -> None:
-        was_head = self.is_head()
+        was_head, was_learner = self.is_head(), self.view is not None and self.position is None
         self.view, self.position = view, view.position(self.me)
         self.floor, self.reported = None, -1
         if (view.number == 1 and self.position is not None) or self.position is None:
@@ -103,13 +103,19 @@
         if was_head and self.position != 0:
             self.fail_waiting()
         if self.position is None:
-            if self.last > self.committed:
-                self.effects.persist(["drop", self.committed], lambda: None)
-                self.drop_after(self.committed)
             return
+        if was_learner:
+            self.drop_uncommitted()
         self.report()
         self.commit_if_tail()
 
+    def drop_uncommitted(self) -> None:
+        """Once others tell what was committed, or this registrar joins the chain. Not as soon as it is taken
+        out: the old tail may commit for a moment yet what then only it would have on its disk."""
+        if self.last > self.committed:
+            self.effects.persist(["drop", self.committed], lambda: None)
+            self.drop_after(self.committed)
+
     def set_caught_up(self, caught_up: bool) -> None:
         """Kept while it stays in the chain, also on the disk: a chain may lose its head as it restarts."""
         if caught_up != self.caught_up:
@@ -283,7 +289,7 @@
         if self.view is not None and self.view.chain:
             self.lessons += 1  # each in turn, from the tail on: one may be gone
             teacher, _ = self.view.chain[-1 - self.lessons % len(self.view.chain)]
-            self.effects.send(teacher, ["chain-learn", self.number(), self.last])
+            self.effects.send(teacher, ["chain-learn", self.number(), self.committed])
 
     def on_learn(self, sender: str, place: int) -> None:
         if place >= self.committed:
@@ -296,6 +302,7 @@
             self.effects.send(sender, ["chain-lesson", self.number(), place, None, missing])
 
     def on_lesson(self, number: int, wire: Any, entries: list[Any]) -> None:  # noqa: ANN401
+        self.drop_uncommitted()
         if wire is not None:
             self.take_state(number, wire)
         life = self.life
--- a/plumline/coordination/core.py
+++ b/plumline/coordination/core.py
@@ -87,10 +87,11 @@
         self.formation.tick(now)
         view = self.views.view
         present = self.chain.position is not None
+        synced = self.chain.synced if present else min(self.chain.synced, self.chain.committed)
         self.contacts.tick(
             now,
             [
-                *(self.me[1], view.number if view else 0, self.chain.synced),
+                *(self.me[1], view.number if view else 0, synced),
                 *(self.sick, self.keeper.leaving, int(present) + int(present and self.chain.caught_up)),
             ],
         )
--- a/tests/core_world.py
+++ b/tests/core_world.py
@@ -410,14 +410,17 @@
         if number not in self.committed:
             self.committed[number] = name
             copies = [each.name for each in self.nodes.values() if name in on_disk(each)]
-            lost = sum(each.lost for each in self.nodes.values())  # may have had it
-            if len(copies) + lost < self.copies:
+            if len(copies) + self.lost_copies() < self.copies:
                 raise ViolationError(f"{name} is committed and only on the disks of {copies}")
         if self.committed[number] != name:
             raise ViolationError(f"{node.name} commits {name} as {number}, another {self.committed[number]}")
         if name in self.refused:
             raise ViolationError(f"{name}, which was refused, is in force")
 
+    def lost_copies(self) -> int:
+        """Machines that may have had what is committed, or will have it."""
+        return sum(each.lost for each in self.nodes.values())
+
     def compare(self, node: Node) -> None:
         for number, name in enumerate(node.core.chain.state.ids, 1):
             self.note(node, number, name)
