Take out only whom a registrar in touch with a majority can judge

Cause: once a change of the chain was due, its proposer left out whoever was silent for it, also members across the chain that all others reached; one that had just come back from a cut or a freeze had heard of nobody yet, and judged by that; and a member that had never answered since this process began counted as holding all. Change: silence counts for neighbours only, step by step; nothing is proposed without echoes of a majority of the acceptors; only members that have answered are counted as holders.

--- a/plumline/coordination/keeper.py
+++ b/plumline/coordination/keeper.py
@@ -7,7 +7,7 @@
 
 import random
 
-from plumline.coordination.contacts import Contacts
+from plumline.coordination.contacts import SUSPECT_AFTER, Contacts
 from plumline.coordination.effects import Member
 from plumline.coordination.view import View, Views
 
@@ -47,15 +47,7 @@
         view = self.views.view
         if view is None or self.me not in view.acceptors:
             return None
-        unfit = {each: self.unfit(now, each) for each in view.chain}
-        position = view.position(self.me)
-        mine = any(bad and known for bad, known in unfit.values())
-        if position is not None:
-            around = [view.chain[at] for at in (position - 1, position + 1) if 0 <= at < len(view.chain)]
-            mine |= any(unfit[each][0] for each in around)
-        chain = view.chain
-        if mine:
-            chain = tuple(each for each in chain if not unfit[each][0])
+        chain = self.fit_chain(now, view)
         if not chain or not self.holds_all(view, chain[0], caught_up):
             return None  # nobody left that holds all: wait for one to come back
         learner = self.learner(now, view, chain, synced) if chain[-1] == self.me else None
@@ -68,6 +60,18 @@
             return None
         return View(view.number + 1, acceptors, chain)
 
+    def fit_chain(self, now: float, view: View) -> tuple[Member, ...]:
+        """The chain without those that everyone can know to be unfit, and without this registrar's
+        neighbours as far as they are silent: about others, not reached from here alone, it has no say."""
+        unfit = {each: self.unfit(now, each) for each in view.chain}
+        chain = [each for each in view.chain if unfit[each] != (True, True)]
+        if self.me in chain:
+            while (at := chain.index(self.me)) > 0 and unfit[chain[at - 1]][0]:
+                del chain[at - 1]
+            while (at := chain.index(self.me)) + 1 < len(chain) and unfit[chain[at + 1]][0]:
+                del chain[at + 1]
+        return tuple(chain)
+
     def holds_all(self, view: View, member: Member, caught_up: bool) -> bool:
         """Whether it is known to hold all that was ever committed. `caught_up`: this registrar does."""
         if member not in view.chain:
@@ -97,11 +101,15 @@
             peer = self.contacts.peers.get(each[0])
             same = peer is not None and peer.incarnation == each[1]
             level = caught_up and same and peer.synced >= committed
-            holding += level or self.holds_all(view, each, caught_up)
+            holding += self.heard(now, each) and (level or self.holds_all(view, each, caught_up))
         gone = [each for each in view.chain if each not in chain]
         away = all(self.never_back(now, each) for each in gone)
         return holding >= wanted or (bool(gone) and away)
 
+    def heard(self, now: float, member: Member) -> bool:
+        """Whether it has answered lately, not only begun to be asked."""
+        return self.contacts.silent_for(now, member[0]) < SUSPECT_AFTER
+
     def learner(self, now: float, view: View, chain: tuple[Member, ...], synced: int) -> Member | None:
         for address, peer in sorted(self.contacts.peers.items()):
             member = address, peer.incarnation
@@ -153,12 +161,20 @@
             return True
         return peer.leaving or peer.incarnation not in ("", member[1])
 
+    def in_touch(self, now: float) -> bool:
+        """Whether a majority of the acceptors answers. Who was cut off or frozen and is just back has heard
+        of nobody: it judges nobody before the echoes have come."""
+        view = self.views.view
+        return view is not None and self.contacts.in_touch(now, view.acceptors)
+
     def left_over(self) -> View | None:
         """What an acceptor has accepted: until it is decided, no read can be answered."""
         return self.views.accepted[1] if self.views.accepted and self.views.may_accept() else None
 
     def tick(self, now: float, synced: int, committed: int, caught_up: bool) -> None:
-        wanted = self.wanted(now, synced, committed, caught_up) or self.left_over()
+        wanted = None
+        if self.in_touch(now):
+            wanted = self.wanted(now, synced, committed, caught_up) or self.left_over()
         if wanted is None:
             self.wanting = None
             return
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -196,3 +196,22 @@
     world.crash(world.nodes[second])
     world.settle("".join(sorted(set("abd") - {second})))
     world.put(1)
+
+
+def test_who_was_frozen_takes_nobody_out_before_echoes_have_come() -> None:
+    world = formed()
+    world.put(0)
+    for node in world.nodes.values():
+        world.freeze(node, 3.0)
+    world.go(10.0)
+    assert list(world.views) == [1]
+
+
+def test_who_reaches_no_majority_of_the_acceptors_proposes_nothing() -> None:
+    world = formed(size=4)
+    world.put(0)
+    world.spy = True
+    world.split("b", "ac")
+    world.settle("acd")
+    world.go(3.0)
+    assert not [to for _, who, to, message in world.seen if who == "b" and message[0] == "view-prepare"]
