--- a/plumline/coordination/chain.py
+++ b/plumline/coordination/chain.py
@@ -119,7 +119,7 @@
     # The view.
 
     def install(self, view: View) -> None:
-        was_head = self.is_head()
+        was_head, was_learner = self.is_head(), self.view is not None and self.position is None
         self.view, self.position = view, view.position(self.me)
         self.floor, self.reported, self.sent = None, -1, -1
         self.resend, self.near = Patience(), False
@@ -131,13 +131,19 @@
         if was_head and self.position != 0:
             self.fail_waiting()
         if self.position is None:
-            if self.last > self.committed:
-                self.effects.persist(["drop", self.committed], lambda: None)
-                self.drop_after(self.committed)
             return
+        if was_learner:
+            self.drop_uncommitted()
         self.report()
         self.commit_if_tail()
 
+    def drop_uncommitted(self) -> None:
+        """Once others tell what was committed, or this registrar joins the chain. Not as soon as it is taken
+        out: the old tail may commit for a moment yet what then only it would have on its disk."""
+        if self.last > self.committed:
+            self.effects.persist(["drop", self.committed], lambda: None)
+            self.drop_after(self.committed)
+
     def set_caught_up(self, caught_up: bool) -> None:
         """Kept while it stays in the chain, also on the disk: a chain may lose its head as it restarts."""
         if caught_up != self.caught_up:
@@ -358,6 +364,8 @@
         try:
             match self.transfer.take(self.now, sender, Piece.from_wire(wire), self.committed):
                 case Snapshot() as whole:
+                    if self.position is None:
+                        self.drop_uncommitted()
                     self.take_state(whole.name.number, whole.wire())
                     if self.position is None:
                         self.ask_lesson(sender)
@@ -387,7 +395,7 @@
     def ask_lesson(self, teacher: str) -> None:
         self.transfer.source = teacher
         self.transfer.patience.ask(self.now, LESSON_PATIENCE)
-        self.effects.send(teacher, ["chain-learn", self.number(), self.last])
+        self.effects.send(teacher, ["chain-learn", self.number(), self.committed])
 
     def on_learn(self, sender: str, place: int) -> None:
         if place < self.committed and not self.log.leads_on(place):
@@ -402,6 +410,8 @@
         if self.transfer.awaits(sender):
             self.transfer.patience.answered(self.now)
             self.near = not more
+        if entries:
+            self.drop_uncommitted()
         life = self.life
         for n, change in entries:
             if n != self.last + 1:
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -27,7 +27,8 @@
     Wanted,
 )
 from plumline.errors import FrameError
-from tests.core_world import Node, World, explore, short_logs
+from tests.core_schedule import explore
+from tests.core_world import Node, World, short_logs
 
 
 def wire_of(size: int, seed: int = 1) -> list[bytes]:
