Close a connection whose answer is whole, and reset only one with a request out

Cause: the reset for what is given up also met connections that end in order, after a Connection: close. Change: the state of the endpoint's side decides. Result: test_answer_matching.py sees the close after a whole answer, the reset before.

--- a/plumline/router/upstream.py
+++ b/plumline/router/upstream.py
@@ -19,6 +19,7 @@
 HEAD_LIMIT = 64 * 1024  # bytes of an answer's head, and of any one incomplete event
 READ_AHEAD = 256 * 1024  # bytes that may wait unread before the endpoint is held up
 TOLD_MARGIN = 1.0  # s by which a connection is let go before the endpoint's told idle time is over
+ANSWER_OVER = (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)  # states of the endpoint's side
 UNTOLD_IDLE = 4.0  # s a connection is kept where the endpoint tells no time
 
 
@@ -188,7 +189,7 @@
         """Ends the connection at once; whoever waits for an event meets UpstreamError. Of a request that is
         given up nothing leaves any more, also when the network has held it up."""
         if self.transport:
-            if self.busy:
+            if self.busy and self.codec.their_state not in ANSWER_OVER:
                 reset_on_close(self.transport)
             self.transport.abort()
         self.end()
--- a/tests/test_answer_matching.py
+++ b/tests/test_answer_matching.py
@@ -224,20 +224,24 @@
 
 
 def test_a_request_that_is_given_up_ends_with_a_reset() -> None:
-    """What the network has held up of it is dropped; a connection that rests ends with a close."""
+    """What the network has held up of it is dropped; one that is answered, or rests, ends with a close."""
 
     async def work() -> None:
         loop = asyncio.get_running_loop()
         server = socket.create_server(("127.0.0.1", 0))
-        for busy in (True, False):
+        for sent, answered in ((True, False), (True, True), (False, False)):
             _, connection = await loop.create_connection(UpstreamConnection, *server.getsockname())
             theirs = server.accept()[0]
             theirs.setblocking(False)
-            if busy:
+            if sent:
                 connection.send(b"POST", b"/a", [(b"host", b"h")], b"")
                 assert (await loop.sock_recv(theirs, 100)).startswith(b"POST /a ")
+            if answered:
+                await loop.sock_sendall(theirs, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                assert isinstance(await connection.event(), h11.Response)
+                assert isinstance(await connection.event(), h11.EndOfMessage)
             connection.close()
-            if busy:
+            if sent and not answered:
                 with pytest.raises(ConnectionResetError):
                     await loop.sock_recv(theirs, 100)
             else:
