--- a/tests/test_weights_job.py
+++ b/tests/test_weights_job.py
@@ -373,8 +373,8 @@
         return wait
 
 
-async def with_rig(scene: Any) -> None:  # noqa: ANN401
-    engine, caller = Engine(), Caller()
+async def with_rig(scene: Any, engine: Engine | None = None) -> None:  # noqa: ANN401
+    engine, caller = engine or Engine(), Caller()
     server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
     try:
         async with asyncio.timeout(10):
@@ -428,6 +428,46 @@
     asyncio.run(with_rig(scene))
 
 
+class SilentEngine(Engine):
+    """Takes an order in and answers nothing; notes whether the call's connection was reset."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.arrived = asyncio.Event()
+        self.ended = asyncio.Event()
+        self.was_reset = False
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        self.arrived.set()
+        try:
+            while await reader.read(1000):
+                pass
+        except ConnectionResetError:
+            self.was_reset = True
+        self.ended.set()
+        writer.close()
+
+
+@pytest.mark.parametrize("fence", [None, 8])
+def test_an_order_under_way_is_reset_as_its_fence_is_over(fence: int | None) -> None:
+    """Also where the same holder wins the lease again at once, under the next fence."""
+
+    async def scene(rig: Rig, engine: SilentEngine) -> None:
+        await rig.turn()
+        rig.wanted = {"m": 2}
+        await rig.turn()
+        rig.now += 0.25
+        rig.job.turn()
+        await engine.arrived.wait()
+        rig.fence = fence
+        rig.job.turn()
+        await engine.ended.wait()
+        assert engine.was_reset
+
+    asyncio.run(with_rig(scene, SilentEngine()))
+
+
 def test_a_holder_without_a_list_publishes_nothing_and_adopts_when_it_comes() -> None:
     async def scene(rig: Rig, engine: Engine) -> None:
         roster, rig.roster = rig.roster, []
