Make a route of the table when it is first asked for

Change: the table holds the items and makes a route when a request matches it; the shortest aim of each service is kept as counts of aims, so no change looks at all routes for it.

--- a/plumline/configuration/routes.py
+++ b/plumline/configuration/routes.py
@@ -80,28 +80,71 @@
     idle_ms: float = 15000
 
 
+class _Made:
+    """A route's item, and the route made from it when it is first asked for: most of thousands never are.
+    Shared by the tables of successive documents."""
+
+    __slots__ = ("_route", "item")
+
+    def __init__(self, item: Document) -> None:
+        self.item = item
+        self._route: Route | None = None
+
+    def route(self) -> Route:
+        if self._route is None:
+            self._route = route_from(self.item)
+        return self._route
+
+    def place(self) -> tuple[str, str]:
+        """Host and prefix."""
+        return host_key(self.item["Host"]), self.item["PathPrefix"]
+
+
 @dataclass(slots=True)
 class _Host:
-    prefixes: dict[str, Route] = field(default_factory=dict)
+    prefixes: dict[str, _Made] = field(default_factory=dict)
     longest: int = 0
 
 
+class _Aims:
+    """How many routes to each service have which aim, so that the shortest is known without a look at all."""
+
+    def __init__(self, earlier: "_Aims | None" = None) -> None:
+        known = earlier.counts if earlier else {}
+        self.counts = {service: dict(aims) for service, aims in known.items()}
+
+    def count(self, item: Document, change: int) -> None:
+        aim = aim_of(item)
+        for service, _ in splits_of(item):
+            aims = self.counts.setdefault(service, {})
+            aims[aim] = aims.get(aim, 0) + change
+            if not aims[aim]:
+                del aims[aim]
+
+    def shortest(self) -> dict[str, float]:
+        return {service: min(aims) for service, aims in self.counts.items() if aims}
+
+
 class RouteTable:
     """Look-ups in one document. `earlier`, the table before it, lends the routes whose items are the same."""
 
     def __init__(self, document: Document, earlier: "RouteTable | None" = None) -> None:
-        self._made: dict[str, tuple[Document, Route]] = {}
+        self._made: dict[str, _Made] = {}
         self._hosts: dict[str, _Host] = {}
+        self._aims = _Aims()
         old = earlier._made if earlier else {}
         for item in document.get("Routes", ()):
             made = old.get(item["Name"])
-            if made is None or made[0] is not item:
-                made = (item, route_from(item))
+            if made is None or made.item is not item:
+                made = _Made(item)
             self._made[item["Name"]] = made
-            route = made[1]
-            host = self._hosts.setdefault(route.host, _Host())
-            host.prefixes[route.prefix] = route
-            host.longest = max(host.longest, len(route.prefix))
+            name, prefix = made.place()
+            host = self._hosts.get(name)
+            if host is None:
+                host = self._hosts[name] = _Host()
+            host.prefixes[prefix] = made
+            host.longest = max(host.longest, len(prefix))
+            self._aims.count(item, 1)
         self._take_rest(document)
 
     def amended(self, document: Document, body: Document) -> "RouteTable":
@@ -111,21 +154,25 @@
         """
         table = RouteTable.__new__(RouteTable)
         table._made, table._hosts = dict(self._made), dict(self._hosts)
+        table._aims = _Aims(self._aims)
         items: list[Document] = body.get("Upserts", {}).get("Routes", [])
         gone = body.get("Removals", {}).get("Routes", [])
         touched: dict[str, _Host] = {}  # hosts as the new table's own
-        for name in [*gone, *(item["Name"] for item in items)]:
+        for name in dict.fromkeys([*gone, *(item["Name"] for item in items)]):
             if (made := self._made.get(name)) is not None:
-                table._own_host(made[1].host, touched).prefixes.pop(made[1].prefix, None)
+                host, prefix = made.place()
+                table._own_host(host, touched).prefixes.pop(prefix, None)
+                table._aims.count(made.item, -1)
         for name in gone:
             table._made.pop(name, None)
         for item in items:
-            route = route_from(item)
-            table._made[route.name] = (item, route)
-            table._own_host(route.host, touched).prefixes[route.prefix] = route
-        for name, host in touched.items():
-            host.longest = max(map(len, host.prefixes), default=0)
-            if not host.prefixes:
+            made = table._made[item["Name"]] = _Made(item)
+            host, prefix = made.place()
+            table._own_host(host, touched).prefixes[prefix] = made
+            table._aims.count(item, 1)
+        for name, changed in touched.items():
+            changed.longest = max(map(len, changed.prefixes), default=0)
+            if not changed.prefixes:
                 del table._hosts[name]
         table._take_rest(document)
         return table
@@ -156,7 +203,11 @@
 
     @property
     def routes(self) -> list[Route]:
-        return [route for _, route in self._made.values()]
+        return [made.route() for made in self._made.values()]
+
+    def shortest_aims(self) -> dict[str, float]:
+        """The shortest aim in ms among the routes to each service."""
+        return self._aims.shortest()
 
     @property
     def stores(self) -> dict[str, Service]:
@@ -171,9 +222,9 @@
         query = path.find("?")
         end = path.rfind("/", 0, found.longest if query < 0 else min(query, found.longest))
         while end >= 0:
-            route = found.prefixes.get(path[: end + 1])
-            if route is not None:
-                return route
+            made = found.prefixes.get(path[: end + 1])
+            if made is not None:
+                return made.route()
             end = path.rfind("/", 0, end)
         return None
 
@@ -181,9 +232,17 @@
         return self._keys.get(key)
 
 
-def route_from(item: Document) -> Route:
+def splits_of(item: Document) -> tuple[tuple[str, float], ...]:
+    """The services that a route's item names, with their weights."""
     splits = item.get("TrafficSplit")
-    named = tuple((s["Service"], s["Weight"]) for s in splits) if splits else ((item["Service"], 1),)
+    return tuple((each["Service"], each["Weight"]) for each in splits) if splits else ((item["Service"], 1),)
+
+
+def aim_of(item: Document) -> float:
+    return _or(item, "TargetLatencyMs", item["TimeoutMs"])
+
+
+def route_from(item: Document) -> Route:
     kind = item.get("Kind")
     return Route(
         name=item["Name"],
@@ -191,9 +250,9 @@
         prefix=item["PathPrefix"],
         kind=kind if kind in KINDS else NON_IDEMPOTENT,
         timeout_ms=item["TimeoutMs"],
-        aim_ms=_or(item, "TargetLatencyMs", item["TimeoutMs"]),
+        aim_ms=aim_of(item),
         priority=_or(item, "Priority", 5),
-        splits=named,
+        splits=splits_of(item),
         attempt_limit=_or(item, "AttemptLimit", 1),
         public=bool(item.get("PublicAccess")),
         sticky=bool(item.get("StickySessions")),
--- a/plumline/router/state.py
+++ b/plumline/router/state.py
@@ -95,11 +95,7 @@
         if topic == "configuration":
             self.versions.look(now)
             self.shares.set_reserved(self.fleet.table.reserved if self.fleet.table else {})
-            self.shortest_aims = {}
-            for route in self.fleet.table.routes if self.fleet.table else ():
-                for service, _ in route.splits:
-                    known = self.shortest_aims.get(service, route.aim_ms)
-                    self.shortest_aims[service] = min(known, route.aim_ms)
+            self.shortest_aims = self.fleet.table.shortest_aims() if self.fleet.table else {}
         elif topic == "stores":
             self.told_stores(self.fleet.stores)
         elif topic == "endpoints":
--- a/tests/test_difference.py
+++ b/tests/test_difference.py
@@ -56,6 +56,11 @@
         table.match(f"h{host}", "/" + "x" * length + "/rest") for host in range(2) for length in range(8)
     ]
     keys = [table.tenant_of(f"key-{name}") for name in "abcdef"]
+    aims: dict[str, float] = {}
+    for each in table.routes:
+        for service, _ in each.splits:
+            aims[service] = min(aims.get(service, each.aim_ms), each.aim_ms)
+    assert table.shortest_aims() == aims
     return found, keys, table.routes, table.services, table.limits, table.version, table.reserved
 
 
