Ask a member that lacks changes for everything, wherever it stood in the chain

The test of a member that was away for 1,000 changes now does so for head, middle and tail, and also asks it to take a change: none may be acknowledged or refused by it.

--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -26,7 +26,7 @@
     SnapshotSender,
     Wanted,
 )
-from plumline.errors import FrameError
+from plumline.errors import FrameError, UnavailableError
 from tests.core_world import Node, World, explore, short_logs
 
 
@@ -243,7 +243,7 @@
 
 
 def holds_nothing_early(world: World, node: Node, wanted: int) -> None:
-    """While it lacks something, the machine neither answers a read nor counts as fresh or caught up."""
+    """While it lacks something, the machine neither answers a read nor takes a change nor counts as fresh."""
     core = node.core
     if core is None or len(core.chain.state.ids) >= wanted:
         return
@@ -251,27 +251,31 @@
     world.read(node, answers.append)
     assert answers in ([], [None])
     assert not core.fresh(world.now + node.offset)
-    assert not (core.chain.is_head() and core.chain.can_commit() and not core.chain.caught_up)
+    told: list[Any] = []
+    world.submit(node, world.change(len(core.chain.state.ids)), told.append)
+    assert not told or isinstance(told[0], UnavailableError)
 
 
 @pytest.mark.parametrize("wiped", [False, True])
-def test_a_member_that_was_away_for_a_thousand_changes_gets_one_state(wiped: bool) -> None:
-    world = without("c", 1000, 200)
-    state = len(Snapshot.of(1, world.nodes["a"].core.chain.state.to_wire()).data)
+@pytest.mark.parametrize("name", "abc")
+def test_a_member_that_was_away_for_a_thousand_changes_gets_one_state(name: str, wiped: bool) -> None:
+    world = without(name, 1000, 200)
+    other = world.chain()[0]
+    state = len(Snapshot.of(1, world.nodes[other].core.chain.state.to_wire()).data)
     world.spy = True
     if wiped:
-        world.wipe(world.nodes["c"])
+        world.wipe(world.nodes[name])
     began = world.now
-    world.start(world.nodes["c"])
+    world.start(world.nodes[name])
     while len(world.chain()) < 3:
         world.go(0.02)
-        holds_nothing_early(world, world.nodes["c"], 1000)
+        holds_nothing_early(world, world.nodes[name], 1000)
         assert world.now < began + 6.0
     world.settle()
-    taken = bytes_of(world, *TRANSFER)["c"]
+    taken = bytes_of(world, *TRANSFER)[name]
     print("bytes", taken, "state", state, "seconds", round(world.now - began, 2))
     assert taken < 1.1 * state + 2 * chain_module.LESSON_BYTES
-    assert world.ids("c") == world.ids("a")
+    assert world.ids(name) == world.ids(other)
 
 
 def test_changes_of_a_megabyte_leave_a_bounded_log_and_come_once() -> None:
