--- a/plumline/router/state.py
+++ b/plumline/router/state.py
@@ -119,11 +119,7 @@
         table = self.fleet.table
         self.versions.look(self.clock())
         self.shares.set_reserved(table.reserved if table else {})
-        self.shortest_aims = {}
-        for route in table.routes if table else ():
-            for service, _ in route.splits:
-                known = self.shortest_aims.get(service, route.aim_ms)
-                self.shortest_aims[service] = min(known, route.aim_ms)
+        self.shortest_aims = table.shortest_aims() if table else {}
 
     def told_endpoints(self, listed: dict[str, Endpoint]) -> None:
         """The endpoints have changed: what is known of those that are gone is forgotten."""
