Hand over before leaving, until nothing is left or the grace period is nearly over

Cause: a registrar that leaves waited 0.6 s and ended, whether it was out of the chain or not, with its seat as an acceptor and perhaps as the last that had told that it holds all. Change: it ends as soon as its leases are given back, it is out of the chain, as many others as must hold a copy have told that they hold all in that view, and its seat is given up or the others are a majority without it; else after GracePeriodS less 1.5 s, with a counter and a line that names the duty.

--- a/plumline/coordination/core.py
+++ b/plumline/coordination/core.py
@@ -12,7 +12,7 @@
 from plumline.coordination.contacts import SUSPECT_AFTER, Contacts
 from plumline.coordination.effects import Effects, Member, Message, Record
 from plumline.coordination.formation import Formation
-from plumline.coordination.keeper import Keeper
+from plumline.coordination.keeper import Duty, Keeper
 from plumline.coordination.view import View, Views
 
 
@@ -36,7 +36,7 @@
         known_elsewhere: Callable[[], bool],
     ) -> None:
         self.me, self.seeds, self.effects, self.now = me, seeds, effects, now
-        self.changed = changed
+        self.changed, self.leases = changed, tuple(leases)
         self.views = Views(me, effects, self.installed)
         self.chain = Chain(me, copies, effects, empty, load, applied)
         self.contacts = Contacts(me, effects)
@@ -151,6 +151,18 @@
         self.ballots.wish(now, lease, wanted)
         self.flush_ballots()
 
+    def leave(self, now: float) -> None:
+        """Gives all leases back and tells the others to take this registrar out."""
+        self.keeper.leaving = True
+        for lease in self.leases:
+            self.wish(now, lease, False)
+
+    def remaining_duty(self, now: float) -> Duty | None:
+        """What must still be handed over before this registrar may end; None: nothing."""
+        if any(self.ballots.holds(lease, now) is not None for lease in self.leases):
+            return Duty.LEASE
+        return self.keeper.remaining_duty(now)
+
     # What others may ask.
 
     def fresh(self, now: float) -> bool:
--- a/plumline/coordination/keeper.py
+++ b/plumline/coordination/keeper.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from enum import StrEnum
 
 from plumline.coordination.contacts import SUSPECT_AFTER, Contacts
 from plumline.coordination.effects import Member
@@ -16,6 +17,14 @@
 LEARNER_LAG = 256  # entries that a learner may lack when it is taken in
 
 
+class Duty(StrEnum):
+    """What a registrar holds that others must take over before it may end."""
+
+    LEASE = "lease"
+    REPLICA = "replica in the chain"
+    ACCEPTOR = "acceptor"
+
+
 class Keeper:
     def __init__(
         self, me: Member, views: Views, contacts: Contacts, chance: random.Random, copies: int
@@ -161,6 +170,34 @@
             return True
         return peer.leaving or peer.incarnation not in ("", member[1])
 
+    def remaining_duty(self, now: float) -> Duty | None:
+        """What a registrar that leaves has not yet handed over."""
+        view = self.views.view
+        if view is None or view.acceptors == (self.me,):
+            return None  # there is nobody else
+        if self.me in view.chain or not self.taken_over(view):
+            return Duty.REPLICA
+        if self.me in view.acceptors and not self.dispensable(now, view):
+            return Duty.ACCEPTOR
+        return None
+
+    def taken_over(self, view: View) -> bool:
+        """Whether as many others as must hold a copy have told that they hold all in this view's chain."""
+        peers = [(self.contacts.peers.get(address), incarnation) for address, incarnation in view.chain]
+        holding = [
+            peer
+            for peer, incarnation in peers
+            if peer and (peer.incarnation, peer.view, peer.present) == (incarnation, view.number, 2)
+        ]
+        return len(holding) >= min(self.copies, len(view.chain))
+
+    def dispensable(self, now: float, view: View) -> bool:
+        """Whether this acceptor may end: the others are a majority, and none could be taken out for it. Where
+        there are no more acceptors than enough it stays one, by its disk: fewer would bear no more."""
+        others = [each for each in view.acceptors if each != self.me]
+        voting = [each for each in others if self.heard(now, each) and not self.votes_no_more(now, each)]
+        return len(view.acceptors) <= self.enough_acceptors() and len(voting) >= view.majority()
+
     def in_touch(self, now: float) -> bool:
         """Whether a majority of the acceptors answers. Who was cut off or frozen and is just back has heard
         of nobody: it judges nobody before the echoes have come."""
--- a/plumline/registrar/app.py
+++ b/plumline/registrar/app.py
@@ -39,7 +39,7 @@
 MARGIN = 0.4  # s added to the rest that the deployment asks for
 SUMMARY = 10.0  # s between summaries of the counters
 MOST_TOLD = 500  # parts in one message
-LEAVE_PAUSE = 0.6  # s at the end for the others to take this one out of the chain
+CLOSE_S = 1.5  # s of the grace period kept for answers under way and the last writes
 
 log = logs.logger("registrar")
 
@@ -347,13 +347,10 @@
             task.cancel()
 
     async def leave(self) -> None:
-        """Gives up leases and the place in the chain, then ends."""
-        self.core.keeper.leaving = True
-        for lease in ("discovery", "weights"):
-            self.core.wish(self.loop.time(), lease, False)
+        """Gives up leases and its duties in the core, then ends."""
         if self.server is not None:
             self.server.stop_accepting()
-        await asyncio.sleep(LEAVE_PAUSE)
+        await self.hand_over()
         if self.server is not None:
             self.server.ending = True
             self.server.close_idle()
@@ -363,6 +360,27 @@
         self.writer.close()
         log.info(logs.words("stopped"))
 
+    async def hand_over(self) -> None:
+        """Until the others need nothing more of this registrar, or the grace period is nearly over."""
+        began = now = self.loop.time()
+        deadline = began + max(0.0, self.settings.bounds.grace_period_s - CLOSE_S)
+        self.core.leave(now)
+        while (duty := self.core.remaining_duty(now)) is not None and now < deadline:
+            await asyncio.sleep(STEP)
+            now = self.loop.time()
+        if duty is None:
+            log.info(logs.words("handed-over", seconds=round(now - began, 2)))
+        else:
+            self.counters.add("leave.incomplete")
+            log.warning(logs.words("leave-incomplete", duty=str(duty), acceptors=self.acceptors_heard(now)))
+
+    def acceptors_heard(self, now: float) -> str:
+        """How many acceptors of the view this registrar reaches, and of how many."""
+        view = self.core.views.view
+        members = view.acceptors if view else ()
+        heard = sum(self.core.contacts.alive(now, address) for address, _ in members)
+        return f"{heard}/{len(members)}"
+
 
 async def run(settings: Settings, settings_file: SettingsFile | None = None) -> None:
     await Registrar(settings, settings_file).run()
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from plumline.coordination.ballot import Terms
 from plumline.coordination.contacts import GONE_AFTER, SUSPECT_AFTER
+from plumline.coordination.keeper import Duty
 from tests.core_world import World
 
 
@@ -169,6 +171,10 @@
     return world
 
 
+def local(world: World, name: str) -> float:
+    return world.now + world.nodes[name].offset
+
+
 def addresses(members: tuple[tuple[str, str], ...]) -> str:
     return "".join(sorted(address for address, _ in members))
 
@@ -207,6 +213,92 @@
     assert list(world.views) == [1]
 
 
+def test_a_chain_is_not_cut_down_to_a_member_that_has_not_been_heard() -> None:
+    """a is gone and nobody has noticed yet: with b out, c would be the only one of two."""
+    world = formed()
+    world.put(0)
+    for node in world.nodes.values():
+        world.crash(node)
+    world.start(world.nodes["b"])
+    world.start(world.nodes["c"])
+    world.go(0.2)
+    world.nodes["b"].core.leave(local(world, "b"))
+    world.go(5.0)
+    assert list(world.views) == [1]
+    assert world.nodes["b"].core.remaining_duty(local(world, "b")) is Duty.REPLICA
+    world.start(world.nodes["a"])
+    world.settle("ac")
+
+
+@pytest.mark.parametrize("name", "abc")
+def test_who_leaves_three_hands_over_soon_and_stays_an_acceptor(name: str) -> None:
+    world = formed()
+    world.put(0)
+    core = world.nodes[name].core
+    core.leave(local(world, name))
+    assert core.remaining_duty(local(world, name)) is Duty.REPLICA
+    assert world.go(1.0, lambda: core.remaining_duty(local(world, name)) is None)
+    assert name not in world.chain()
+    assert addresses(world.newest.acceptors) == "abc"
+
+
+def test_who_leaves_for_a_successor_is_no_acceptor_when_it_ends() -> None:
+    """Four acceptors, one of them just ended, would not bear the loss of another."""
+    world = with_a_spare()
+    world.start(world.nodes["d"])
+    world.settle("abcd")
+    core = world.nodes["c"].core
+    core.leave(local(world, "c"))
+    assert world.go(2.0, lambda: core.remaining_duty(local(world, "c")) is None)
+    world.crash(world.nodes["c"])
+    assert addresses(world.newest.acceptors) == "abd"
+    world.wipe(world.nodes["a"])
+    world.settle("bd")
+    world.put(1)
+
+
+def test_who_leaves_waits_while_another_is_away() -> None:
+    world = formed()
+    world.put(0)
+    world.crash(world.nodes["c"])
+    world.settle("ab")
+    core = world.nodes["a"].core
+    core.leave(local(world, "a"))
+    world.go(5.0)
+    assert core.remaining_duty(local(world, "a")) is Duty.REPLICA
+    world.start(world.nodes["c"])
+    assert world.go(5.0, lambda: core.remaining_duty(local(world, "a")) is None)
+    assert world.chain() == "bc"
+
+
+def test_who_leaves_gives_its_leases_back() -> None:
+    world = World(1, 3, quiet=True, start=False)
+    world.leases = {"weights": Terms(1.0, 3.0)}
+    for node in world.nodes.values():
+        world.start(node)
+    world.settle()
+    for name, node in world.nodes.items():
+        node.core.wish(local(world, name), "weights", True)
+
+    def holders() -> str:
+        held = (
+            name
+            for name, node in world.nodes.items()
+            if node.core and node.core.ballots.holds("weights", local(world, name)) is not None
+        )
+        return "".join(held)
+
+    assert world.go(5.0, lambda: bool(holders()))
+    first = holders()
+    core = world.nodes[first].core
+    core.leave(local(world, first))
+    assert holders() == ""
+    assert world.go(1.0, lambda: core.remaining_duty(local(world, first)) is None)
+    world.crash(world.nodes[first])
+    assert not world.go(1.9, lambda: bool(holders()))  # the rest
+    assert world.go(2.0, lambda: bool(holders()))
+
+
 def test_who_reaches_no_majority_of_the_acceptors_proposes_nothing() -> None:
     world = formed(size=4)
     world.put(0)
@@ -215,3 +307,38 @@
     world.settle("acd")
     world.go(3.0)
     assert not [to for _, who, to, message in world.seen if who == "b" and message[0] == "view-prepare"]
+
+
+def test_who_leaves_is_taken_out_of_more_acceptors_than_enough() -> None:
+    """It was out of the chain before, so only its seat is left to give up."""
+    world = formed(size=4)
+    world.put(0)
+    core = world.nodes["c"].core
+    core.sick = True
+    world.settle("abd")
+    world.go(0.5)
+    core.leave(local(world, "c"))
+    assert core.remaining_duty(local(world, "c")) is Duty.ACCEPTOR
+    assert world.go(1.0, lambda: core.remaining_duty(local(world, "c")) is None)
+    assert addresses(world.newest.acceptors) == "abd"
+
+
+def test_a_change_takes_nobody_out_whom_only_its_proposer_cannot_reach() -> None:
+    world = formed(size=4)
+    world.put(0)
+    world.cut |= {("a", "d"), ("d", "a")}
+    world.go(2.0)
+    world.nodes["b"].core.leave(local(world, "b"))
+    world.go(2.0)
+    assert [addresses(view.chain) for view in world.views.values()] == ["abcd", "acd"]
+    assert addresses(world.newest.acceptors) == "acd"
+
+
+def test_who_leaves_waits_until_others_have_told_that_they_hold_all() -> None:
+    world = formed()
+    world.put(0)
+    core = world.nodes["c"].core
+    core.leave(local(world, "c"))
+    assert world.go(1.0, lambda: core.me not in core.views.view.chain)
+    assert core.remaining_duty(local(world, "c")) is Duty.REPLICA
+    assert world.go(1.0, lambda: core.remaining_duty(local(world, "c")) is None)
