--- /dev/null
+++ b/tests/core_mutations.py
@@ -0,0 +1,102 @@
+"""Cores with one guard taken out: each must be found by the schedules, or by an example by hand."""
+
+from collections.abc import Callable
+from typing import Any
+
+from plumline.coordination.ballot import Ballots
+from plumline.coordination.chain import Chain
+from plumline.coordination.core import Core
+from plumline.coordination.effects import Member, Message, Record
+from plumline.coordination.keeper import Duty, Keeper
+from plumline.coordination.view import View, Views
+
+
+def exchange(part: str, kind: type) -> Callable[[Core], None]:
+    """A call that makes the part of a core one of that class."""
+
+    def mutate(core: Core) -> None:
+        getattr(core, part).__class__ = kind
+
+    return mutate
+
+
+class AddsBeforeItRemoves(Keeper):
+    """The acceptor that votes no more keeps its seat beside the newcomer's, until the view after."""
+
+    def vacant_seat(
+        self, now: float, view: View, chain: tuple[Member, ...], learner: Member
+    ) -> Member | None:
+        return next((each for each in view.acceptors if each[0] == learner[0]), None)
+
+
+class JudgesBeforeItHasHeard(Keeper):
+    def in_touch(self, now: float) -> bool:
+        return True
+
+
+class DropsWhomItCannotReach(Keeper):
+    """Once a change is due, whoever is silent here goes with it, also across the chain."""
+
+    def fit_chain(self, now: float, view: View) -> tuple[Member, ...]:
+        if super().fit_chain(now, view) == view.chain:
+            return view.chain
+        return tuple(each for each in view.chain if not self.unfit(now, each)[0])
+
+
+class CountsOnTheUnheard(Keeper):
+    def heard(self, now: float, member: Member) -> bool:
+        return True
+
+
+class LeavesAtOnce(Keeper):
+    def remaining_duty(self, now: float) -> Duty | None:
+        return None
+
+
+class LeavesBeforeOthersHold(Keeper):
+    def taken_over(self, view: View) -> bool:
+        return True
+
+
+class LeavesItsSeat(Keeper):
+    def dispensable(self, now: float, view: View) -> bool:
+        return True
+
+
+class GrantsAfterAccepting(Ballots):
+    def suspend_grants(self, view: int) -> None:
+        pass
+
+
+class ForgetsPromises(Views):
+    def restore(self, record: Record) -> None:
+        if record[0] != "promise":
+            super().restore(record)
+
+
+class ForgetsAccepted(Views):
+    def restore(self, record: Record) -> None:
+        if record[0] != "accept":
+            super().restore(record)
+
+
+class TakesEntriesOfAnyView(Chain):
+    def on_message(self, sender: str, message: Message) -> bool:
+        if message[0] in ("chain-entry", "chain-state"):
+            message = [message[0], self.number(), *message[2:]]
+        return super().on_message(sender, message)
+
+
+class TakesReportsOfAnyView(Chain):
+    def on_message(self, sender: str, message: Message) -> bool:
+        if message[0] in ("chain-floor", "chain-report", "chain-commit"):
+            message = [message[0], self.number(), *message[2:]]
+        return super().on_message(sender, message)
+
+
+def mutation(name: str) -> dict[str, Any]:
+    """Keywords of a schedule whose cores are without that guard."""
+    kind = globals()[name]
+    parts = {Keeper: "keeper", Ballots: "ballots", Views: "views", Chain: "chain"}
+    part = next(part for base, part in parts.items() if issubclass(kind, base))
+    return {"mutate": exchange(part, kind)}
