Make the drop of a removed member's entries outlive a crash

Change: that they are to be dropped is on the disk before the view in which the member joins, and goes with it into a rewritten file; the drop is made again after a restart.

--- a/plumline/coordination/chain.py
+++ b/plumline/coordination/chain.py
@@ -45,6 +45,7 @@
         self.newest = empty  # with all entries of the log
         self.committed = self.last = self.synced = 0
         self.caught_up = False  # holds all that this view's predecessor held as it began
+        self.stale = False  # was taken out with uncommitted entries, to be dropped
         self.floor: int | None = None  # number from which on it is
         self.life = 0  # rises when entries are dropped or replaced: what was being written counts no more
         self.waiting: dict[int, list[tuple[Answer, PlumlineError | None]]] = {}
@@ -69,13 +70,18 @@
                 self.advance(min(committed, self.synced), quiet=True)
             case ["caught-up", bool(caught_up)]:
                 self.caught_up = caught_up
+            case ["stale"]:
+                self.stale = True
             case ["drop", int(number)]:
+                self.stale = False
                 self.drop_after(number)
 
     def records(self) -> list[Record]:
         found: list[Record] = [["base", self.committed, self.state.to_wire()]]
         found += [["entry", n, change, self.committed] for n, change in self.log if n > self.committed]
         found.append(["caught-up", self.caught_up])
+        if self.stale:
+            found.append(["stale"])
         return found
 
     def drop_after(self, number: int) -> None:
@@ -93,7 +99,7 @@
     # The view.
 
     def install(self, view: View) -> None:
-        was_head, was_learner = self.is_head(), self.view is not None and self.position is None
+        was_head = self.is_head()
         self.view, self.position = view, view.position(self.me)
         self.floor, self.reported = None, -1
         if (view.number == 1 and self.position is not None) or self.position is None:
@@ -103,8 +109,11 @@
         if was_head and self.position != 0:
             self.fail_waiting()
         if self.position is None:
+            if self.last > self.committed and not self.stale:
+                self.stale = True
+                self.effects.persist(["stale"], lambda: None)
             return
-        if was_learner:
+        if self.stale:
             self.drop_uncommitted()
         self.report()
         self.commit_if_tail()
@@ -112,7 +121,8 @@
     def drop_uncommitted(self) -> None:
         """Once others tell what was committed, or this registrar joins the chain. Not as soon as it is taken
         out: the old tail may commit for a moment yet what then only it would have on its disk."""
-        if self.last > self.committed:
+        if self.stale:
+            self.stale = False
             self.effects.persist(["drop", self.committed], lambda: None)
             self.drop_after(self.committed)
 
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -1,11 +1,13 @@
 """The chain by hand: what is answered is on every member's disk, and stays."""
 
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from plumline.coordination.chain import Chain
 from plumline.coordination.topics import Topics
+from plumline.coordination.view import View
 from plumline.errors import UnavailableError, VersionConflictError
 from tests.core_world import NoEffects, Register, World, on_disk, short_logs
 
@@ -288,3 +290,41 @@
     assert topics.payload("roster") == ["y"]
     assert topics.payload("marks") is None
     assert topics.messages() == [["topic", "roster", [2, 1], ["y"]]]
+
+
+class Recorder:
+    """Effects that sync each record at once and keep it."""
+
+    def __init__(self) -> None:
+        self.records: list[list[Any]] = []
+
+    def send(self, to: str, message: list[Any]) -> None:
+        pass
+
+    def persist(self, record: list[Any], done: Callable[[], None]) -> None:
+        self.records.append(record)
+        done()
+
+
+def chain_of(recorder: Recorder) -> Chain:
+    return Chain(("a", "a-1"), 2, recorder, Register(), Register.load, lambda number, change: None)
+
+
+def test_a_removed_member_keeps_what_may_be_committed_and_drops_it_as_it_joins_again() -> None:
+    """Also if it ended before the drop was on its disk, and if its file was rewritten meanwhile."""
+    a, b, c = ("a", "a-1"), ("b", "b-1"), ("c", "c-1")
+    recorder = Recorder()
+    chain = chain_of(recorder)
+    chain.install(View(1, (a, b, c), (a, b)))
+    chain.submit(["set", 0, "c1"], lambda error: None)
+    chain.install(View(2, (a, b, c), (b, c)))
+    assert (chain.last, chain.committed) == (1, 0)  # b may commit it yet
+    for records in (list(recorder.records), chain.records()):
+        again = chain_of(Recorder())
+        for record in records:
+            again.restore(record)
+        assert (again.last, again.committed) == (1, 0)
+        again.install(View(3, (a, b, c), (b, a)))
+        assert (again.last, again.committed) == (0, 0)
+    chain.on_lesson(0, None, [[1, ["set", 0, "c2"]]])
+    assert chain.state.ids == ("c2",)
