--- a/plumline/coordination/chain.py
+++ b/plumline/coordination/chain.py
@@ -62,6 +62,7 @@
         self.newest = empty  # with all entries of the log
         self.committed = self.last = self.synced = 0
         self.caught_up = False  # holds all that this view's predecessor held as it began
+        self.stale = False  # was taken out with uncommitted entries, to be dropped
         self.floor: int | None = None  # number from which on it is
         self.life = 0  # rises when entries are dropped or replaced: what was being written counts no more
         self.waiting: dict[int, list[tuple[Answer, PlumlineError | None]]] = {}
@@ -94,7 +95,10 @@
                 self.advance(min(committed, self.synced), quiet=True)
             case ["caught-up", bool(caught_up)]:
                 self.caught_up = caught_up
+            case ["stale"]:
+                self.stale = True
             case ["drop", int(number)]:
+                self.stale = False
                 self.drop_after(number)
 
     def records(self) -> list[Record]:
@@ -104,6 +108,8 @@
             for each in self.log.between(self.committed, self.last)
         ]
         found.append(["caught-up", self.caught_up])
+        if self.stale:
+            found.append(["stale"])
         return found
 
     def drop_after(self, number: int) -> None:
@@ -119,7 +125,7 @@
     # The view.
 
     def install(self, view: View) -> None:
-        was_head, was_learner = self.is_head(), self.view is not None and self.position is None
+        was_head = self.is_head()
         self.view, self.position = view, view.position(self.me)
         self.floor, self.reported, self.sent = None, -1, -1
         self.resend, self.near = Patience(), False
@@ -131,8 +137,11 @@
         if was_head and self.position != 0:
             self.fail_waiting()
         if self.position is None:
+            if self.last > self.committed and not self.stale:
+                self.stale = True
+                self.effects.persist(["stale"], lambda: None)
             return
-        if was_learner:
+        if self.stale:
             self.drop_uncommitted()
         self.report()
         self.commit_if_tail()
@@ -140,7 +149,8 @@
     def drop_uncommitted(self) -> None:
         """Once others tell what was committed, or this registrar joins the chain. Not as soon as it is taken
         out: the old tail may commit for a moment yet what then only it would have on its disk."""
-        if self.last > self.committed:
+        if self.stale:
+            self.stale = False
             self.effects.persist(["drop", self.committed], lambda: None)
             self.drop_after(self.committed)
 
