--- a/tests/test_view.py
+++ b/tests/test_view.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+from plumline.coordination.ballot import Terms
 from plumline.coordination.view import View, Views
 from tests.core_world import World
 
@@ -142,3 +143,23 @@
         again.restore(record)
     assert (again.view, again.promised, again.accepted) == (views.view, views.promised, views.accepted)
     assert again.highest_round >= views.highest_round
+
+
+def test_who_has_accepted_the_next_view_votes_for_no_lease_also_after_a_restart() -> None:
+    world = World(1, 3, quiet=True, start=False)
+    world.leases = {"weights": Terms(1.0, 0.5)}
+    for node in world.nodes.values():
+        world.start(node)
+    world.settle()
+    a = world.nodes["a"]
+    world.deliver("b", "a", ["view-accept", 2, [7, "b"], without(world.newest, "c").to_wire()])
+    world.go(0.01)
+    for restarts in (False, True):
+        if restarts:
+            world.crash(a)
+            world.start(a)
+        world.spy, world.seen = True, []
+        world.deliver("c", "a", ["ballot", "ask", "weights", 1, 1 << 30, 5, 6, True])
+        world.go(0.01)
+        said = [m for _, who, to, m in world.seen if (who, to, m[0]) == ("a", "c", "ballot")]
+        assert [m[1] for m in said] == ["refuse"]
