--- a/plumline/registrar/history.py
+++ b/plumline/registrar/backlog.py
@@ -24,7 +24,7 @@
     data: bytes
 
 
-class History:
+class Backlog:
     """Consecutive entries up to `newest`."""
 
     def __init__(self, now: Callable[[], tuple[int, State]]) -> None:
--- a/plumline/registrar/feeding.py
+++ b/plumline/registrar/feeding.py
@@ -16,7 +16,7 @@
 from plumline.coordination.topics import Topics
 from plumline.counters import Counters
 from plumline.errors import FrameError
-from plumline.registrar.history import History
+from plumline.registrar.backlog import Backlog
 from plumline.routing.shares import summed
 from plumline.wire.frames import FrameLink, pack
 
@@ -62,7 +62,7 @@
         self.patience = SILENT_HEARTBEATS * heartbeat_s
         self.followers: dict[FrameLink, Follower] = {}
         self.told_place = 0  # the highest that a follower has had from anyone
-        self.history = History(lambda: (chain.committed, chain.state))
+        self.backlog = Backlog(lambda: (chain.committed, chain.state))
         self.configuration: tuple[int, Document | None] = (-1, None)  # after the entry of that number
 
     def came(self, link: FrameLink, now: float) -> None:
@@ -111,9 +111,9 @@
         """A follower that is ahead gets nothing: its place is never taken back."""
         if not follower.primary or follower.place < 0 or follower.link.busy or not self.may_feed():
             return
-        if self.history.newest != self.chain.committed:
-            self.history.restart(self.chain.committed)
-        for each in self.history.messages(follower.place):
+        if self.backlog.newest != self.chain.committed:
+            self.backlog.restart(self.chain.committed)
+        for each in self.backlog.messages(follower.place):
             follower.link.send_packed(each.kind, each.data, ordered=True)
             follower.place = each.number
 
@@ -125,9 +125,9 @@
         """A committed entry, or with None a whole state."""
         before, document = self.configuration
         if change is None:
-            self.history.restart(number)
+            self.backlog.restart(number)
         else:
-            self.history.add(number, as_amend(document, change) if before == number - 1 else change)
+            self.backlog.add(number, as_amend(document, change) if before == number - 1 else change)
         self.configuration = number, self.chain.state.configuration
         self.catch_all_up()
 
