Tell a router that joins no soft topics while the registrar may be cut off

Cause: a registrar that was not fresh fed no entries any more, but still gave the endpoints' list and the weights' marks, of any age, to a router that joined it. Change: they come with the first beat after the registrar is fresh again. Result: the new test of the feed fails without it.

--- a/plumline/registrar/feeding.py
+++ b/plumline/registrar/feeding.py
@@ -44,6 +44,7 @@
     heard: float = 0.0
     work: Work = field(default_factory=dict)
     primary: bool = False  # takes entries, and news of prompts, from here
+    has_topics: bool = False  # was sent all soft topics that were known
 
 
 class Feed:
@@ -99,14 +100,20 @@
 
     def follow(self, follower: Follower, place: int) -> None:
         self.told_place = max(self.told_place, place)
-        if follower.place < 0:
-            for each in self.topics.messages():
-                follower.link.send(each)
-        elif follower.link.busy and follower.primary:
+        if follower.place >= 0 and follower.link.busy and follower.primary:
             return  # what it asks for is on its way
         follower.place = place
+        self.tell_topics(follower)
         self.catch_up(follower)
 
+    def tell_topics(self, follower: Follower) -> None:
+        """All soft topics, once, and not while this registrar may know old ones only."""
+        if follower.place < 0 or follower.has_topics or not self.may_feed():
+            return
+        follower.has_topics = True
+        for each in self.topics.messages():
+            follower.link.send(each)
+
     def catch_up(self, follower: Follower) -> None:
         """A follower that is ahead gets nothing: its place is never taken back."""
         if not follower.primary or follower.place < 0 or follower.link.busy or not self.may_feed():
@@ -119,6 +126,7 @@
 
     def catch_all_up(self) -> None:
         for follower in list(self.followers.values()):
+            self.tell_topics(follower)
             self.catch_up(follower)
 
     def applied(self, number: int, change: list[Any] | None) -> None:
--- a/tests/test_feeding.py
+++ b/tests/test_feeding.py
@@ -238,3 +238,23 @@
     router.place = 1
     assert router.take()[0] == "state"
     assert router.place == scene.chain.committed
+
+
+def test_who_joins_a_registrar_that_may_be_cut_off_gets_no_old_topics() -> None:
+    """They come with the first beat after it is fresh again, and once."""
+    scene = Scene(routers=0)
+    scene.feed.topics.offer("roster", (3, 1), ["an endpoint"])
+    scene.fresh = False
+    link = scene.join("n").link
+    scene.feed.beat(False, [], {})
+    assert topics_in(link) == []
+    scene.fresh = True
+    scene.feed.beat(True, [], {})
+    scene.feed.beat(True, [], {})
+    assert topics_in(link) == ["roster"]
+
+
+def topics_in(link: FakeLink) -> list[str]:
+    """The names of the topics that were sent."""
+    messages = [Unpacker().feed(each)[0] if each[0] == 0 else ormsgpack.unpackb(each) for each in link.frames]
+    return [message[1] for message in messages if message[0] == "topic"]
