--- a/plumline/wire/http.py
+++ b/plumline/wire/http.py
@@ -3,12 +3,12 @@
 import asyncio
 import re
 import socket
-import struct
 from collections.abc import Iterable
 
 import h11
 
 from plumline.errors import PlumlineError
+from plumline.wire.sockets import NO_LINGER
 
 HEADER_LIMIT = 16 * 1024
 BODY_LIMIT = 64 * 1024
@@ -17,7 +17,6 @@
 MOST_INTERIM = 16  # 1xx answers that may come ahead of one answer
 FIRST_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 BEGINNING = b"HTTP/1."
-NO_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset, and drops what is unsent
 SOME_REQUEST = [("Host", "x"), ("Content-Length", "0")]
 DECIMAL = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?", re.ASCII)
 
