Let a voter that has abstained since its restart vote in the next view

Cause: a voter had to know the two views before a new one, as majorities of a view lasted until the view after the next. Change: since who accepts a view grants nothing more in the one before, the last view alone must be known.

--- a/plumline/coordination/ballot.py
+++ b/plumline/coordination/ballot.py
@@ -156,9 +156,9 @@
         fresh = formed_now and number == 1 and not any(vote.term for vote in self._votes.values())
         new = frozenset(voters)
         self._earlier.append((self._view, frozenset(self._voters), now))
-        # Majorities of the view before the last may have been there until now: it too must be known.
-        last = [entry[0] for entry in self._earlier[-2:]]
-        knows = self.me in self._voters and last == [number - 2, number - 1]
+        # No majority of an earlier view could be had since this node learned the last one, and what they had
+        # granted until then it has taken into account, or abstained for.
+        knows = self.me in self._voters and self._view == number - 1
         for name, (lease_s, rest_s) in self._terms.items():
             vote = self._votes[name]
             if fresh:
--- a/tests/test_ballot.py
+++ b/tests/test_ballot.py
@@ -523,6 +523,22 @@
     assert ballots.records() == [["ballot", LEASE, 7, "c/1"]]
 
 
+def test_a_voter_that_has_abstained_once_does_not_so_again_with_the_next_view() -> None:
+    ballots = Ballots("v", TERMS, 0.0, Random(1))
+    ballots.restore([["ballot", LEASE, 7, "c/1"]])
+    ballots.set_view(0.0, 4, ["c", "d", "v"])
+    ballots.set_view(2.0, 5, ["c", "d", "v"])
+    ballots.on_message(2.0, "d", ask(8, view=5))
+    assert isinstance(ballots.take_actions()[0], Persist)
+
+
+def test_a_voter_that_has_missed_a_view_abstains() -> None:
+    ballots = voter()
+    ballots.set_view(2.0, 3, ["c", "d", "v"])
+    ballots.on_message(3.0, "d", ask(8, view=3))
+    assert ballots.take_actions() == [Send("d", ["refuse", LEASE, 3, 0, 9, 0.5])]
+
+
 def test_who_has_accepted_the_next_view_grants_nothing_in_the_present_one() -> None:
     ballots = voter()
     ballots.on_message(0.0, "c", ask(5))
