Open a link between registrars anew where no hello comes on it

Cause: a link that had connected but heard no hello was waited for without end; only links that were up were renewed. Where a cut begins between the two, what it holds up is sent again by the system ever more rarely, so a member could stay unheard for many seconds after the cut. Change: after 1.5 s without a hello the connection is ended and opened anew. Result: tests/test_mesh.py. Whether this was the 4.9 s that a thawed machine once took is not shown.

--- a/plumline/wire/mesh.py
+++ b/plumline/wire/mesh.py
@@ -13,6 +13,7 @@
 from plumline.wire.frames import FrameLink, pack
 
 CONNECT_S = 0.5  # s for a connection to come up
+HELLO_S = 1.5  # s for the other side's hello: what a cut holds up may come many seconds after it heals
 AGAIN_S = 0.25  # s, at about, until the next try
 ORDERED = frozenset({"chain-entry", "chain-lesson"})  # kinds that are of use only after those sent before
 
@@ -84,7 +85,7 @@
         host, _, port = address.rpartition(":")
         try:
             while address in self.wanted:
-                down = self.loop.create_future()
+                greeted, down = self.loop.create_future(), self.loop.create_future()
 
                 def ended(link: FrameLink, down: "asyncio.Future[None]" = down) -> None:
                     if self.links.get(address) is link:
@@ -92,7 +93,8 @@
                     if not down.done():
                         down.set_result(None)
 
-                def up(link: FrameLink) -> None:
+                def up(link: FrameLink, greeted: "asyncio.Future[None]" = greeted) -> None:
+                    greeted.set_result(None)
                     self.links[address] = link
                     self.on_link(address)
 
@@ -100,6 +102,9 @@
                 try:
                     async with asyncio.timeout(CONNECT_S):
                         await self.loop.create_connection(lambda link=link: link, host, int(port))
+                    await asyncio.wait((greeted, down), timeout=HELLO_S, return_when=asyncio.FIRST_COMPLETED)
+                    if not greeted.done():
+                        link.abort()
                     await down
                 except (OSError, TimeoutError):
                     self.counters.add("links.not-up")
--- /dev/null
+++ b/tests/test_mesh.py
@@ -0,0 +1,58 @@
+"""Links between registrars: opened again when they are down, and when nobody answers on them."""
+
+import asyncio
+from pathlib import Path
+from unittest.mock import patch
+
+from peers import play, soon
+
+from plumline.counters import Counters
+from plumline.wire import mesh as mesh_module
+from plumline.wire.frames import FrameLink, hello
+from plumline.wire.mesh import Mesh
+
+
+def mesh_of(up: "asyncio.Future[str]") -> Mesh:
+    """One that wants no links yet; `up` gets the address of the first link that comes up."""
+
+    def linked(address: str) -> None:
+        if not up.done():
+            up.set_result(address)
+
+    greeting = hello("one", "registrar", "127.0.0.1:1", "zone")
+    return Mesh(
+        "127.0.0.1:1",
+        greeting,
+        lambda sender, message: None,
+        linked,
+        lambda link: None,
+        lambda link, message: None,
+        lambda link: None,
+        Counters(),
+    )
+
+
+@patch.object(mesh_module, "HELLO_S", 0.05)
+@patch.object(mesh_module, "AGAIN_S", 0.01)
+@play
+async def test_a_link_on_which_no_hello_comes_is_opened_anew(_: Path) -> None:
+    """As where a cut began between the connection and the hello: it may be held up for long after the cut."""
+    loop = asyncio.get_running_loop()
+    silent: list[asyncio.Protocol] = []
+
+    def accepted() -> asyncio.Protocol:
+        if len(silent) < 2:
+            silent.append(asyncio.Protocol())
+            return silent[-1]
+        greeting = hello("two", "registrar", address, "zone")
+        return FrameLink(greeting, lambda _: None, lambda *_: None, lambda _: None, Counters())
+
+    server = await loop.create_server(accepted, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    up: asyncio.Future[str] = loop.create_future()
+    mesh = mesh_of(up)
+    mesh.want({address})
+    assert await soon(up) == address
+    assert len(silent) == 2
+    mesh.close()
+    server.close()
