Point the mutation of the tried-before guard at its new place

Cause: the guard against a second send to an endpoint already tried moved from Selection.pick to Selection.ready_in, so that the mutation test couldn't find it ('the guard has moved'): the one failure of 1,503 tests in the full run.

Change: the same mutation, at ready_in. Is as strict: without the guard a run still shows it.

Result: tests/test_wire_properties.py, 28 passed.

--- a/tests/test_wire_properties.py
+++ b/tests/test_wire_properties.py
@@ -97,7 +97,7 @@
     Guard(Progress, "may_send", "return not self.ran or route.idempotent", "return True"),
     Guard(Progress, "may_send", "self.sends >= route.attempt_limit or ", ""),
     Guard(Send, "sent_on", "progress.granted = False", "pass"),
-    Guard(Selection, "pick", "key in progress.tried or ", ""),
+    Guard(Selection, "ready_in", "key in self.progress.tried or ", ""),
     # Whole answers only.
     Guard(Send, "receive", 'return self.spoilt("unsealed")', "pass"),
     Guard(Send, "relay", "if needs_end and not ends_event(tail):", "if False:"),
