--- a/tests/test_core_tolerance.py
+++ b/tests/test_core_tolerance.py
@@ -16,7 +16,7 @@
 
 @pytest.mark.parametrize(
     ("size", "losses", "schedules", "overrun"),
-    [(3, 1, 60, False), (5, 2, 15, False), (4, 1, 8, False), (3, 1, 25, True), (5, 2, 5, True)],
+    [(3, 1, 100, False), (5, 2, 30, False), (4, 1, 15, False), (3, 1, 40, True), (5, 2, 10, True)],
 )
 def test_what_is_lost_within_the_tolerance_stops_nothing(
     size: int, losses: int, schedules: int, overrun: bool
