--- a/tests/core_tolerance.py
+++ b/tests/core_tolerance.py
@@ -438,6 +438,7 @@
             self.leave(old, gone)
 
         def gone() -> None:
+            self.crash(old)  # it may have been starting, with no process that could leave
             old.gone = True
             place.replacing = False
 
