--- a/tests/core_schedule.py
+++ b/tests/core_schedule.py
@@ -119,6 +119,7 @@
         self.loss = self.twice = self.slow = self.jitter = 0.0
         for node in self.nodes.values():
             node.thaws_at = min(node.thaws_at, self.now)
+            self.thaw(node, node.life)  # what was held back comes first, in its order
             self.start(node)
         done: list[list[Any]] = []
 
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -360,3 +360,15 @@
     world.crash(world.nodes["a"])
     world.settle("bcf")
     world.put(1)
+
+
+def test_a_disk_lost_just_as_a_replaced_machine_is_killed_stops_nothing() -> None:
+    """The successor has had its time, so one loss is allowed again; the old one had not given up its seat."""
+    world = with_a_spare()
+    world.start(world.nodes["d"])
+    world.settle("abcd")
+    world.crash(world.nodes["a"])
+    world.wipe(world.nodes["d"])
+    world.start(world.nodes["d"])
+    assert world.go(7.0, lambda: world.chain() == "bcd")
+    world.put(1)
