--- a/plumline/router/lifecycle.py
+++ b/plumline/router/lifecycle.py
@@ -32,6 +32,7 @@
         self.phase = Phase.STARTING
         self.ends = 0.0  # s on the loop's clock, once draining
         self.asked = asyncio.Event()
+        self.unanswered = 0  # requests that are cut, once stopped
 
     def ready(self) -> bool:
         """Whether it may be given new connections; the first time it may, it is ready from then on."""
@@ -59,5 +60,20 @@
             self.server.close_idle()
             if await self.server.drained(min(left, CLOSING)):
                 break
+        self.unanswered = self.server.unanswered()
         self.server.end()
         self.phase = Phase.STOPPED
+
+    def drain_summary(self) -> dict[str, float]:
+        """For the log: what the shutdown took on and what it cut. Times in s from its start."""
+        drain = self.server.drain
+        if drain is None:
+            return {}
+        return {
+            "seconds": round(self.loop.time() - drain.began_at, 3),
+            "unanswered": self.unanswered,
+            "requests_on_new": drain.on_new_connections,
+            "requests_on_kept": drain.on_kept_connections,
+            "latest_request_s": round(drain.latest_request_s, 3),
+            "slowest_request_s": round(drain.slowest_request_s, 3),
+        }
--- a/plumline/router/process.py
+++ b/plumline/router/process.py
@@ -77,7 +77,7 @@
             task.cancel()
         for line in self.counters.changed_lines():
             log.info(line)
-        log.info(logs.event("stopped"))
+        log.info(logs.event("stopped", **self.lifecycle.drain_summary()))
 
 
 async def run(settings: Settings, file: SettingsFile | None = None) -> None:
--- a/plumline/wire/server.py
+++ b/plumline/wire/server.py
@@ -11,6 +11,7 @@
 from enum import Enum
 from typing import NamedTuple, Protocol
 
+from plumline.wire.drain_record import DrainRecord
 from plumline.wire.exchange import (
     STATUS_LINES,
     UNREAD_BYTES,
@@ -83,6 +84,7 @@
 
     def __init__(self, server: "Server") -> None:
         self.server, self.loop = server, server.loop
+        self.opened_at = self.loop.time()
         self.phase = Phase.IDLE
         self.buffer = bytearray()
         self.searched = 0  # bytes of it that hold no head's end
@@ -247,6 +249,8 @@
         exchange = self.exchange = Exchange(self, self.head, body, self.began)
         self.head = self.chunks = None
         self.phase = Phase.ANSWER
+        if self.server.drain is not None:
+            self.server.drain.note_request(self.loop.time(), self.opened_at, self.began)
         try:
             self.server.handler(exchange)
         except Exception:
@@ -396,6 +400,7 @@
         self.buffer = bytearray(READ_BYTES)  # one for all: what came is copied before another one reads
         self.connections: set[Connection] = set()
         self.ending = False  # each answer closes its connection
+        self.drain: DrainRecord | None = None  # from `begin_ending` on
         self.listener: socket.socket | None = None
         self.accepting: asyncio.Server | None = None
         self.adopting: set[asyncio.Task[object]] = set()
@@ -421,6 +426,11 @@
     def begin_ending(self) -> None:
         """From now on each answer closes its connection; new ones are still taken."""
         self.ending = True
+        self.drain = DrainRecord(self.loop.time())
+
+    def unanswered(self) -> int:
+        """How many requests have been read whole and have no complete answer yet."""
+        return sum(each.exchange is not None for each in self.connections)
 
     def stop_accepting(self) -> None:
         """No new connections. Those that wait to be taken are taken first: their clients could not know."""
