--- a/plumline/router/admission.py
+++ b/plumline/router/admission.py
@@ -14,6 +14,7 @@
 from plumline.wire.http import decimal
 
 NOT_YET = 0.3  # s a client is told where no configuration is here yet
+ELSEWHERE = 0.0  # s a client is told where this router is about to end: any other one can serve it now
 MOST_RANK = 4  # ranks from here on count alike: an endpoint knows ten, two for each
 
 
@@ -80,6 +81,9 @@
     if table.has_tenants and tenant is None and not route.public:
         return denied(router, 401, "no-tenant")
     now = router.clock()
+    until = exchange.began + min(told_time(exchange.headers), route.timeout_ms) / 1000
+    if router.drain is not None and not router.drain.admits(now, until):
+        return Denial(503, "draining", ELSEWHERE)
     service = route.choose_service(router.chance)
     router.budget.record_request(now, service)
     prompt = read_prompt(
@@ -99,7 +103,7 @@
         tenant=tenant,
         service=service,
         base=base_headers(exchange.headers, tenant),
-        until=exchange.began + min(told_time(exchange.headers), route.timeout_ms) / 1000,
+        until=until,
         prompt=prompt,
         standing=standing,
         # Short prompts go before long ones: they cost those little, the other way much.
--- a/plumline/router/dispatch.py
+++ b/plumline/router/dispatch.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 from plumline.counters import Counters
+from plumline.router.drain import DrainDeadlines
 from plumline.router.request_handler import RequestHandler
 from plumline.router.router_state import Budget, RouterState
 from plumline.routing.fleet import Fleet
@@ -32,13 +33,23 @@
         budget: Budget | None = None,
     ) -> None:
         super().__init__(settings, fleet, counters, clock, chance, budget=budget)
-        self.tasks: set[asyncio.Task[None]] = set()
+        self.tasks: dict[asyncio.Task[None], RequestHandler] = {}
 
     def handle(self, exchange: Exchange) -> None:
         """Takes the request on; its answer comes by a task of its own."""
-        task = asyncio.get_running_loop().create_task(RequestHandler(self, exchange).run())
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        handler = RequestHandler(self, exchange)
+        task = asyncio.get_running_loop().create_task(handler.run())
+        self.tasks[task] = handler
+        task.add_done_callback(lambda done: self.tasks.pop(done, None))
+
+    def begin_draining(self, deadlines: DrainDeadlines) -> None:
+        """The process is about to end: from now on its deadlines count at admission."""
+        self.drain = deadlines
+
+    def end_requests(self) -> None:
+        """Ends every request under way at once: by its final response, or by a cut if one has begun."""
+        for handler in list(self.tasks.values()):
+            handler.end()
 
     async def drained(self) -> None:
         """Returns once every request taken on has its answer."""
--- a/plumline/router/lifecycle.py
+++ b/plumline/router/lifecycle.py
@@ -4,12 +4,10 @@
 from collections.abc import Callable
 from enum import Enum
 
+from plumline.router.drain import DrainDeadlines
 from plumline.wire.server import Server
 
-# The platform asks each second and needs two misses; then clients come to other routers.
-NOTICED = 2.5  # s from the first 503 at which new connections have ceased
-MARGIN = 0.7  # s before the end of the grace period by which the process is gone
-CLOSING = 0.3  # s of the grace period in which what is still unanswered can go out
+IDLE_CHECK_S = 0.3  # between two looks for kept connections that have become idle
 
 
 class Phase(Enum):
@@ -26,13 +24,24 @@
     on what was known last if need be; draining from `begin_shutdown`; stopped once nobody is owed an answer,
     or shortly before `grace` s are over."""
 
-    def __init__(self, server: Server, equipped: Callable[[], bool], grace: float) -> None:
+    def __init__(
+        self,
+        server: Server,
+        equipped: Callable[[], bool],
+        grace: float,
+        *,
+        on_drain: Callable[[DrainDeadlines], None] = lambda _: None,
+        end_requests: Callable[[], None] = lambda: None,
+    ) -> None:
+        """`on_drain` is told the deadlines as the shutdown begins; `end_requests` gives every request that is
+        still unanswered its final response, or cuts one whose response has begun."""
         self.server, self.equipped, self.grace = server, equipped, grace
+        self.on_drain, self.end_requests = on_drain, end_requests
         self.loop = asyncio.get_running_loop()
         self.phase = Phase.STARTING
-        self.ends = 0.0  # s on the loop's clock, once draining
+        self.deadlines: DrainDeadlines | None = None  # once draining
         self.asked = asyncio.Event()
-        self.unanswered = 0  # requests that are cut, once stopped
+        self.unanswered = 0  # requests that had no complete response when the responses were due
 
     def ready(self) -> bool:
         """Whether it may be given new connections; the first time it may, it is ready from then on."""
@@ -45,25 +54,33 @@
         if self.phase in (Phase.DRAINING, Phase.STOPPED):
             return
         self.phase = Phase.DRAINING
-        self.ends = self.loop.time() + self.grace - MARGIN
+        self.deadlines = DrainDeadlines.from_grace_period(self.loop.time(), self.grace)
+        self.on_drain(self.deadlines)
         self.server.begin_ending()
         self.asked.set()
 
     async def run_until_stopped(self) -> None:
         """Returns when the process may end. Nothing that was read is left unanswered while there is time."""
         await self.asked.wait()
-        noticed = min(NOTICED, max(self.ends - CLOSING - self.loop.time(), 0.0))
-        await asyncio.sleep(noticed)
+        assert self.deadlines is not None
+        await asyncio.sleep(max(self.deadlines.notice_ends_at - self.loop.time(), 0.0))
         self.server.stop_accepting()
-        while (left := self.ends - self.loop.time()) > 0:
-            # One that was read as it was to be closed is answered, and closes by itself.
-            self.server.close_idle()
-            if await self.server.drained(min(left, CLOSING)):
-                break
-        self.unanswered = self.server.unanswered()
+        if not await self._drain_until(self.deadlines.responses_due_at):
+            self.unanswered = self.server.unanswered()
+            self.end_requests()
+            await self._drain_until(self.deadlines.ends_at)
         self.server.end()
         self.phase = Phase.STOPPED
 
+    async def _drain_until(self, deadline: float) -> bool:
+        """Whether all connections have ended by then. Those that owe nobody an answer are closed."""
+        while (left := deadline - self.loop.time()) > 0:
+            # One that was read as it was to be closed is answered, and closes by itself.
+            self.server.close_idle()
+            if await self.server.drained(min(left, IDLE_CHECK_S)):
+                return True
+        return not self.server.busy()
+
     def drain_summary(self) -> dict[str, float]:
         """For the log: what the shutdown took on and what it cut. Times in s from its start."""
         drain = self.server.drain
--- a/plumline/router/process.py
+++ b/plumline/router/process.py
@@ -43,7 +43,13 @@
             self.counters.group("clients"),
             held_limit=int(settings.limits.memory_mb * 1024 * 1024 * MEMORY_SHARE),
         )
-        self.lifecycle = Lifecycle(self.server, self.equipped, bounds.grace_period_s)
+        self.lifecycle = Lifecycle(
+            self.server,
+            self.equipped,
+            bounds.grace_period_s,
+            on_drain=self.dispatcher.begin_draining,
+            end_requests=self.dispatcher.end_requests,
+        )
         self.readiness = Readiness(self.lifecycle.ready)
 
     def equipped(self) -> bool:
--- a/plumline/router/request_handler.py
+++ b/plumline/router/request_handler.py
@@ -26,6 +26,7 @@
         self.progress = Progress()
         self.standing = CALM
         self.timer: asyncio.TimerHandle | None = None
+        self.ended = False  # given up: the final answer, or none any more, has gone out
 
     async def run(self) -> None:
         """From admission to the one answer that the exchange is owed."""
@@ -72,6 +73,16 @@
         if self.progress.connection:
             self.progress.connection.close()  # the endpoint drops the request
 
+    def end(self) -> None:
+        """The process is about to end: the final answer goes out now, or what has begun of one is cut."""
+        progress = self.progress
+        progress.expired = True
+        if not (self.exchange.done or self.exchange.gone):
+            progress.ran = progress.ran or progress.connection is not None
+            self.give_up()
+        if progress.connection:
+            progress.connection.close()
+
     # Sends.
 
     async def work(self, request: Request) -> None:
@@ -112,6 +123,9 @@
     def give_up(self) -> None:
         """The final answer at once: a promise only where surely nothing has run."""
         progress = self.progress
+        if self.ended:
+            return
+        self.ended = True
         if self.exchange.done or progress.gone:
             self.count("client-gone")
         elif progress.started:
--- a/plumline/router/router_state.py
+++ b/plumline/router/router_state.py
@@ -15,6 +15,7 @@
 from plumline.prefix_cache.blocks import PrefixBlock
 from plumline.prefix_cache.events import Done, Placed, Read, Stored, news_from
 from plumline.prefix_cache.index import Placement, PrefixCacheIndex
+from plumline.router.drain import DrainDeadlines
 from plumline.router.relay import Headers, value_of
 from plumline.router.upstream import Pool
 from plumline.routing.cache_salt import NamedVersions
@@ -81,6 +82,7 @@
         self.budget: Budget = budget or retry_budget(settings, clock())
         self.outcomes = Outcomes(lambda: self.fleet.routers, self.chance)
         self.pool = Pool(CONNECT_TIMEOUT)
+        self.drain: DrainDeadlines | None = None  # while the process shuts down
         self.affinity = Affinity()
         self.index = PrefixCacheIndex(self.memory_of)
         self.serials = itertools.count(1)
