--- a/plumline/registrar/forwarding.py
+++ b/plumline/registrar/forwarding.py
@@ -111,6 +111,12 @@
                 del self.pending[key]
                 request.on_result(error, None)
 
+    def fail_pending(self) -> None:
+        """This registrar ends: every request without a response gets one that says to ask another."""
+        for key, request in list(self.pending.items()):
+            del self.pending[key]
+            request.on_result(UnavailableError("this registrar ends; ask another whether it was taken"), None)
+
     # Between registrars.
 
     def on_message(self, now: float, sender: str, message: Message) -> bool:
--- a/plumline/registrar/process.py
+++ b/plumline/registrar/process.py
@@ -34,6 +34,7 @@
 LINK_TIMEOUT_S = 1.5  # s without an echo after which a link is opened anew
 SHUTDOWN_RESERVE_S = 1.5  # s of the grace period kept for responses in flight and the last writes
 DRAIN_TIMEOUT_S = 0.5  # s for the responses in flight
+LAST_RESPONSES_S = 0.1  # s for those that say that nothing is known of the result
 
 log = logs.logger("registrar")
 
@@ -221,9 +222,10 @@
             server.stop_accepting()
         await self.hand_over()
         if server is not None:
-            server.ending = True
             server.close_idle()
-            await server.drained(DRAIN_TIMEOUT_S)
+            if not await server.drained(DRAIN_TIMEOUT_S):
+                self.operator_api.forwarder.fail_pending()
+                await server.drained(LAST_RESPONSES_S)
             server.end()
         self.mesh.close()
         self.durable_state.close()
