--- a/plumline/registrar/process.py
+++ b/plumline/registrar/process.py
@@ -193,9 +193,12 @@
 
     async def run(self) -> None:
         """Until SIGTERM, and the shutdown after it. An error of any loop ends the process with it."""
-        await self._start_listening()
+        # Before anything is taken on: without a handler, a signal ends the process at once.
         self.loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
         self.loop.add_signal_handler(signal.SIGHUP, self.settings_file.request_reload)
+        if not await self._is_durable():
+            return
+        await self._start_listening()
         self.roles.campaign()
         incarnation = self.durable_state.incarnation
         log.info(logs.event("started", node=self.settings.node_name, incarnation=incarnation))
@@ -208,8 +211,19 @@
         for task in loops:
             task.cancel()
 
+    async def _is_durable(self) -> bool:
+        """Waits until its incarnation is synced; False if it is told to end before, as on a stalled disk."""
+        synced = self.loop.create_task(self.durable_state.wait_for_incarnation())
+        stop = self.loop.create_task(self.stop_requested.wait())
+        await asyncio.wait([synced, stop], return_when=asyncio.FIRST_COMPLETED)
+        stop.cancel()
+        if not synced.done():
+            synced.cancel()
+            return False
+        synced.result()
+        return True
+
     async def _start_listening(self) -> None:
-        await self.durable_state.wait_for_incarnation()
         await self.mesh.listen(self.settings.internal_address)
         if self.settings.control_plane is not None:
             self.operator_server = Server(self.operator_api.handle, counters=self.counters.group("clients"))
--- a/plumline/router/process.py
+++ b/plumline/router/process.py
@@ -65,12 +65,13 @@
 
     async def run(self) -> None:
         """Until SIGTERM, and then until nobody is owed an answer."""
+        # Before anything is taken on: without a handler, a signal ends the process at once.
+        self.loop.add_signal_handler(signal.SIGTERM, self.lifecycle.begin_shutdown)
+        self.loop.add_signal_handler(signal.SIGHUP, self.file.request_reload)
         if self.settings.front_http is not None:
             await self.server.listen(self.settings.front_http)
         if self.settings.readiness is not None:
             await self.readiness.listen(self.settings.readiness)
-        self.loop.add_signal_handler(signal.SIGTERM, self.lifecycle.begin_shutdown)
-        self.loop.add_signal_handler(signal.SIGHUP, self.file.request_reload)
         log.info(logs.event("started", node=self.settings.node_name))
         work = [self.loop.create_task(each) for each in (self.subscriber.run(), self.summarise())]
         stop = self.loop.create_task(self.lifecycle.run_until_stopped())
--- a/tests/test_registrar_drain.py
+++ b/tests/test_registrar_drain.py
@@ -1,12 +1,18 @@
 """What a registrar does with operators' requests that are unanswered, or come, while it shuts down."""
 
 import asyncio
+import signal
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
+import pytest
 from peers import play, soon
 from test_registrar_process import formed, settings_for
 
 from plumline.registrar.process import RegistrarProcess
+from plumline.router.process import Router
+from plumline.settings import Settings
 from plumline.wire.server import Server
 
 CHANGE = (
@@ -61,3 +67,70 @@
     assert b"HTTP/1.1 503 " in rest and b"\r\nConnection: close\r\n" in rest
     writer.close()
     await soon(ending)
+
+
+class Order:
+    """What a process did as it started, in order."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.steps: list[str] = []
+        listen = Server.listen
+
+        async def noted_listen(server: Server, address: Any) -> None:  # noqa: ANN401
+            self.steps.append("listen")
+            await listen(server, ("127.0.0.1", 0))
+
+        monkeypatch.setattr(Server, "listen", noted_listen)
+        loop = asyncio.get_running_loop()
+        add_signal_handler = loop.add_signal_handler
+
+        def noted_handler(number: int, callback: Callable[..., Any], *args: Any) -> None:  # noqa: ANN401
+            self.steps.append(signal.Signals(number).name)
+            add_signal_handler(number, callback, *args)
+
+        monkeypatch.setattr(loop, "add_signal_handler", noted_handler)
+
+
+@pytest.mark.parametrize("role", ["router", "registrar"])
+def test_a_process_can_be_told_to_end_before_it_takes_the_first_request(
+    role: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Without a handler, SIGTERM ends it at once, with whatever it has taken on since it listens."""
+
+    async def scene() -> list[str]:
+        any_port = ("127.0.0.1", 0)
+        order = Order(monkeypatch)
+        folder = tmp_path if role == "registrar" else None
+        settings = Settings(
+            node_name="n",
+            ip_address="127.0.0.1",
+            internal_ports=(47_661, 47_675),
+            seed_addresses=(("127.0.0.1", 1),),
+            first_start=True,
+            data_directory=folder,
+            front_http=any_port if role == "router" else None,
+            readiness=any_port if role == "router" else None,
+            control_plane=any_port if role == "registrar" else None,
+        )
+        process = Router(settings) if role == "router" else RegistrarProcess(settings)
+        task = asyncio.ensure_future(process.run())
+        while "listen" not in order.steps or "SIGTERM" not in order.steps:
+            await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return order.steps
+
+    steps = asyncio.run(asyncio.wait_for(scene(), 10))
+    assert steps[:2] == ["SIGTERM", "SIGHUP"]
+
+
+@play
+async def test_a_registrar_that_is_told_to_end_while_its_disk_stalls_ends_at_once(tmp_path: Path) -> None:
+    registrar = RegistrarProcess(settings_for(tmp_path))
+    stalled = asyncio.Event()
+    registrar.durable_state.wait_for_incarnation = stalled.wait  # type: ignore[method-assign,assignment]
+    running = asyncio.ensure_future(registrar.run())
+    await asyncio.sleep(0)
+    registrar.stop_requested.set()
+    await soon(running)
+    assert registrar.operator_server is None
