--- a/plumline/registrar/process.py
+++ b/plumline/registrar/process.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import secrets
-import signal
 from collections.abc import Callable
 
 from plumline import logs
@@ -14,6 +13,7 @@
 from plumline.coordination.soft_state import SoftState
 from plumline.coordination.view import View
 from plumline.counters import Counters
+from plumline.process_signals import handle_signals, hold_signals
 from plumline.registrar.durable_state import DurableState
 from plumline.registrar.message_handlers import PeerMessageHandler, RouterMessageHandler
 from plumline.registrar.operator_api import OperatorApi
@@ -193,11 +193,13 @@
 
     async def run(self) -> None:
         """Until SIGTERM, and the shutdown after it. An error of any loop ends the process with it."""
-        # Before anything is taken on: without a handler, a signal ends the process at once.
-        self.loop.add_signal_handler(signal.SIGTERM, self.stop_requested.set)
-        self.loop.add_signal_handler(signal.SIGHUP, self.settings_file.request_reload)
-        if not await self._is_durable():
-            return
+        handle_signals(self.loop, self.stop_requested.set, self.settings_file.request_reload)
+        if await self._is_durable():
+            await self._serve()
+        hold_signals()
+
+    async def _serve(self) -> None:
+        """From the first request to the end of the shutdown."""
         await self._start_listening()
         self.roles.campaign()
         incarnation = self.durable_state.incarnation
--- a/plumline/router/process.py
+++ b/plumline/router/process.py
@@ -1,10 +1,10 @@
 """The router's process: joins the feed, the serving side and the request path."""
 
 import asyncio
-import signal
 
 from plumline import logs
 from plumline.counters import Counters
+from plumline.process_signals import handle_signals, hold_signals
 from plumline.router.dispatch import Dispatcher
 from plumline.router.lifecycle import Lifecycle
 from plumline.router.readiness import Readiness
@@ -65,9 +65,7 @@
 
     async def run(self) -> None:
         """Until SIGTERM, and then until nobody is owed an answer."""
-        # Before anything is taken on: without a handler, a signal ends the process at once.
-        self.loop.add_signal_handler(signal.SIGTERM, self.lifecycle.begin_shutdown)
-        self.loop.add_signal_handler(signal.SIGHUP, self.file.request_reload)
+        handle_signals(self.loop, self.lifecycle.begin_shutdown, self.file.request_reload)
         if self.settings.front_http is not None:
             await self.server.listen(self.settings.front_http)
         if self.settings.readiness is not None:
@@ -85,6 +83,7 @@
         for line in self.counters.changed_lines():
             log.info(line)
         log.info(logs.event("stopped", **self.lifecycle.drain_summary()))
+        hold_signals()
 
 
 async def run(settings: Settings, file: SettingsFile | None = None) -> None:
