--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -4,11 +4,11 @@
 import json
 import logging
 import os
-import signal
 import sys
+from collections.abc import Coroutine
 from dataclasses import replace
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from elmglade.net.config import Config
 from elmglade.net.control import Control
@@ -17,10 +17,13 @@
 from elmglade.net.loop import Loop
 from elmglade.net.sender import AGAIN, Sender
 from elmglade.settings import settings_from
+from plumline.process_signals import handle_signals, hold_signals
 from plumline.wire.http import address_from
 
 MEGABYTE = 1_000_000
 
+Result = TypeVar("Result")
+
 log = logging.getLogger(__name__)
 
 
@@ -73,26 +76,69 @@
         log.error("the new configuration is not used: %s", error)
 
 
+class EarlySignals:
+    """Keeps the signals that come before there is a sender, and passes on those that come later."""
+
+    def __init__(self) -> None:
+        self.reload_asked, self.end_asked = asyncio.Event(), asyncio.Event()
+        self.sender: Sender | None = None
+
+    def on_reload(self) -> None:
+        """SIGHUP."""
+        self.reload_asked.set()
+        if self.sender is not None:
+            reread(self.sender)
+
+    def on_terminate(self) -> None:
+        """SIGTERM."""
+        self.end_asked.set()
+        if self.sender is not None:
+            self.sender.terminate()
+
+    def pass_on(self, sender: Sender) -> None:
+        """The sender has started: it hears what came before, and all that comes from now on."""
+        self.sender = sender
+        if self.reload_asked.is_set():
+            reread(sender)
+        if self.end_asked.is_set():
+            sender.terminate()
+
+
 async def serve(config: Config) -> int:
     """Operators hear at once how far the start is; the rest waits until the state folder is its own."""
     control = Control(
         {"STATUS": lambda: "fail waiting for the state folder", "METRICS": lambda: "fail starting"}
     )
     calls = asyncio.create_task(control.serve(config.control)) if config.control else None
-    early = asyncio.Event()  # SIGHUP before there is a sender to hear it
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGHUP, early.set)
-    sender = Sender(config, await come_into(config.state), control)
-    loop.add_signal_handler(signal.SIGHUP, reread, sender)
-    await sender.start()
-    if early.is_set():
-        reread(sender)
-    code = await sender.run()
+    signals = EarlySignals()
+    # Without a handler they would end a process that has just taken clients and calls over.
+    handle_signals(asyncio.get_running_loop(), signals.on_terminate, signals.on_reload)
+    estate = await unless(signals.end_asked, come_into(config.state))
+    code = 0
+    if estate is not None:
+        sender = Sender(config, estate, control)
+        await sender.start()
+        signals.pass_on(sender)
+        code = await sender.run()
     if calls:
         calls.cancel()
+    if code != AGAIN:
+        hold_signals()
     return code
 
 
+async def unless(event: asyncio.Event, work: Coroutine[Any, Any, Result]) -> Result | None:
+    """What the work comes to; None, and the work is cancelled, if the event is set before it ends."""
+    working = asyncio.ensure_future(work)
+    waiting = asyncio.ensure_future(event.wait())
+    await asyncio.wait([working, waiting], return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    if working.done():
+        return working.result()
+    working.cancel()
+    return None
+
+
 def run() -> int:
     with asyncio.Runner(loop_factory=Loop) as runner:
         return runner.run(serve(read_config()))
--- a/tests/test_sender_drain.py
+++ b/tests/test_sender_drain.py
@@ -3,9 +3,11 @@
 
 import asyncio
 import json
+import os
 import random
 import signal
 import time
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -14,7 +16,11 @@
 from peers import Peer, Platform, Reply, Request, config_json, host, message, play, soon
 from test_process import running, start, wait_for
 
+import elmglade.__main__ as sender_main
+from elmglade.net.handover import Estate
+
 CLIENTS = 8
+READY_LINE = rb"ready on (\S+):(\d+)"
 LOSS_SLACK_S = 0.2  # by which a request may cross the close of its connection
 
 
@@ -115,66 +121,139 @@
     ]
 
 
-async def leave_by_sigterm(process: asyncio.subprocess.Process, told: dict[str, Any], state: Path) -> None:
+class Scene:
+    """Clients, an endpoint, and processes of one sender that follow one another."""
+
+    def __init__(self, seed: int, state: Path, receiver: Receiver, platform: Notified) -> None:
+        self.chance, self.state = random.Random(seed), state
+        self.receiver, self.platform = receiver, platform
+        self.told = config_json(platform, host(receiver.dial))
+        self.gone = asyncio.Event()  # clients end
+        self.clients: list[KeptClient] = []
+
+    async def begin(self, address: Any) -> None:  # noqa: ANN401
+        """Clients hand messages in from now on."""
+        self.clients = [KeptClient(n, address, self.chance, self.gone) for n in range(CLIENTS)]
+        self.tasks = [asyncio.ensure_future(each.run()) for each in self.clients]
+        await asyncio.sleep(0.5)
+
+    async def successor(self) -> asyncio.subprocess.Process:
+        """Starts the next process."""
+        return await start(self.told, self.state)
+
+    async def check(self) -> None:
+        """Nothing that was read is unanswered, and what was taken on comes to its end."""
+        self.gone.set()
+        await soon(asyncio.gather(*self.tasks))
+        assert lost(self.clients) == []
+        handed_in = [each for client in self.clients for each in client.handed_in]
+        taken = {each.id for each in handed_in if each.status in (200, 202)}
+        assert len(taken) > CLIENTS
+        async with asyncio.timeout(10):
+            while not taken <= self.receiver.delivered | self.platform.told:
+                await asyncio.sleep(0.05)
+
+
+Leave = Callable[[Scene, asyncio.subprocess.Process], Awaitable[asyncio.subprocess.Process]]
+
+
+async def leave_by_sigterm(scene: Scene, process: asyncio.subprocess.Process) -> asyncio.subprocess.Process:
     process.send_signal(signal.SIGTERM)
     await asyncio.sleep(0.2)
     process.send_signal(signal.SIGHUP)
     process.send_signal(signal.SIGTERM)
+    assert await soon(process.wait()) == 0
+    scene.gone.set()
+    return await scene.successor()
 
 
-async def leave_by_hand_over(process: asyncio.subprocess.Process, told: dict[str, Any], state: Path) -> None:
-    pass
-
-
-async def leave_by_both(process: asyncio.subprocess.Process, told: dict[str, Any], state: Path) -> None:
-    asyncio.get_running_loop().call_later(random.Random(1).uniform(0.0, 0.4), send_term, process)
+async def leave_by_hand_over(scene: Scene, process: asyncio.subprocess.Process) -> asyncio.subprocess.Process:
+    successor = await scene.successor()
+    await wait_for(successor, READY_LINE)
+    await asyncio.sleep(0.5)
+    process.send_signal(signal.SIGTERM)
+    assert await soon(process.wait()) == 0
+    return successor
 
 
-def send_term(process: asyncio.subprocess.Process) -> None:
-    if process.returncode is None:
-        process.send_signal(signal.SIGTERM)
+async def leave_by_both(scene: Scene, process: asyncio.subprocess.Process) -> asyncio.subprocess.Process:
+    successor = await scene.successor()
+    await asyncio.sleep(scene.chance.uniform(0.0, 0.4))
+    process.send_signal(signal.SIGTERM)
+    assert await soon(process.wait()) == 0
+    return successor
+
+
+async def leave_while_the_successor_is_told_to_end(
+    scene: Scene, process: asyncio.subprocess.Process
+) -> asyncio.subprocess.Process:
+    """The successor gets SIGTERM as it starts or takes over; it ends in order, whatever it has by then."""
+    first = await scene.successor()
+    await asyncio.sleep(scene.chance.uniform(0.15, 0.35))
+    first.send_signal(signal.SIGTERM)
+    assert await soon(first.wait()) == 0
+    process.send_signal(signal.SIGTERM)
+    assert await soon(process.wait()) == 0
+    return await scene.successor()
 
 
-@pytest.mark.parametrize("seed", [1, 2])
-@pytest.mark.parametrize("leave", [leave_by_sigterm, leave_by_hand_over, leave_by_both])
-def test_nothing_is_lost_as_a_sender_leaves(leave: Any, seed: int, tmp_path: Path) -> None:  # noqa: ANN401
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize(
+    "leave",
+    [leave_by_sigterm, leave_by_hand_over, leave_by_both, leave_while_the_successor_is_told_to_end],
+)
+def test_nothing_is_lost_as_a_sender_leaves(leave: Leave, seed: int, tmp_path: Path) -> None:
     async def test(_: Path) -> None:
-        chance = random.Random(seed)
         state = tmp_path / "state"
         state.mkdir()
-        async with Receiver(chance) as receiver, Notified() as platform:
-            told = config_json(platform, host(receiver.dial))
-            gone = asyncio.Event()
-            async with running(told, state) as (process, address):
-                clients = [KeptClient(number, address, chance, gone) for number in range(CLIENTS)]
-                tasks = [asyncio.ensure_future(each.run()) for each in clients]
-                await asyncio.sleep(0.5)
-                await leave(process, told, state)
-                if leave is leave_by_sigterm:
-                    assert await soon(process.wait()) == 0
-                    gone.set()
-                successor = await start(told, state)
+        async with Receiver(random.Random(seed)) as receiver, Notified() as platform:
+            scene = Scene(seed, state, receiver, platform)
+            async with running(scene.told, state) as (process, address):
+                await scene.begin(address)
+                last = await leave(scene, process)
                 try:
-                    await wait_for(successor, rb"ready on (\S+):(\d+)")
-                    if leave is leave_by_hand_over:
-                        await asyncio.sleep(0.5)
-                        process.send_signal(signal.SIGTERM)
-                    assert await soon(process.wait()) == 0
-                    gone.set()
-                    await soon(asyncio.gather(*tasks))
-                    taken = {
-                        each.id
-                        for client in clients
-                        for each in client.handed_in
-                        if each.status in (200, 202)
-                    }
-                    assert lost(clients) == []
-                    assert len(taken) > CLIENTS
-                    async with asyncio.timeout(10):
-                        while not taken <= receiver.delivered | platform.told:
-                            await asyncio.sleep(0.05)
+                    await scene.check()
                 finally:
-                    successor.kill()
-                    await successor.wait()
+                    last.kill()
+                    await last.wait()
 
     play(test)(tmp_path)
+
+
+def test_a_sender_can_be_told_to_end_before_anything_is_handed_over_to_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It ends in order while it still waits for its folder."""
+
+    async def scene() -> int:
+        loop = asyncio.get_running_loop()
+
+        async def wait_forever(folder: Path) -> Estate:
+            loop.call_soon(os.kill, os.getpid(), signal.SIGTERM)
+            return await loop.create_future()
+
+        monkeypatch.setattr(sender_main, "come_into", wait_forever)
+        monkeypatch.setattr(sender_main, "hold_signals", lambda: None)  # this process goes on
+        async with Platform() as platform:
+            return await soon(sender_main.serve(sender_main.config_from(config_json(platform), tmp_path)))
+
+    assert asyncio.run(scene()) == 0
+
+
+def test_a_sender_that_was_told_to_end_as_it_took_over_ends_in_order(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scene() -> int:
+        come_into = sender_main.come_into
+
+        async def told_meanwhile(folder: Path) -> Estate:
+            estate = await come_into(folder)
+            os.kill(os.getpid(), signal.SIGTERM)
+            return estate
+
+        monkeypatch.setattr(sender_main, "come_into", told_meanwhile)
+        monkeypatch.setattr(sender_main, "hold_signals", lambda: None)
+        async with Platform() as platform:
+            return await soon(sender_main.serve(sender_main.config_from(config_json(platform), tmp_path)))
+
+    assert asyncio.run(scene()) == 0
