--- a/plumline/lab/soak/clients.py
+++ b/plumline/lab/soak/clients.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from contextlib import suppress
+from dataclasses import dataclass
 
 import h11
 
@@ -55,6 +56,24 @@
         return chance.choice(ready if 2 * len(ready) >= len(self.routers) else list(self.routers))
 
 
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request to be sent. `pause_s`: between the two parts of it, if it is to come slowly."""
+
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes = b""
+    pause_s: float = 0.0
+
+    def data(self, codec: h11.Connection) -> bytes:
+        """All of it, as `codec` puts it on the wire."""
+        lines = [*self.headers, ("Content-Length", str(len(self.body)))]
+        request = h11.Request(method=self.method, target=self.path, headers=lines)
+        events = (request, h11.Data(data=self.body), h11.EndOfMessage())
+        return b"".join(codec.send(event) or b"" for event in events)
+
+
 class KeptConnection:
     """One HTTP/1.1 connection with one request at a time."""
 
@@ -78,20 +97,12 @@
         """Whether another request may be sent on it."""
         return self.codec.our_state is h11.IDLE and not self.reader.at_eof()
 
-    async def call(
-        self,
-        record: RequestRecord,
-        method: str,
-        path: str,
-        headers: list[tuple[str, str]],
-        body: bytes,
-        pause_s: float = 0.0,
-    ) -> None:
-        """Sends the request, its body in two parts if there is a pause; notes in `record` what came of it."""
+    async def call(self, record: RequestRecord, call: Call) -> None:
+        """Sends the request and notes in `record` what came of it."""
         record.on_kept, self.used = self.used, True
         try:
             async with asyncio.timeout(record.patience_s):
-                await self._send(record, method, path, headers, body, pause_s)
+                await self._send(record, call)
                 await self._receive(record)
         except TimeoutError:
             record.gave_up = True
@@ -103,22 +114,11 @@
         else:
             self.close()
 
-    async def _send(
-        self,
-        record: RequestRecord,
-        method: str,
-        path: str,
-        headers: list[tuple[str, str]],
-        body: bytes,
-        pause_s: float,
-    ) -> None:
-        lines = [*headers, ("Content-Length", str(len(body)))]
-        data = self.codec.send(h11.Request(method=method, target=path, headers=lines)) or b""
-        data += self.codec.send(h11.Data(data=body)) or b""
-        data += self.codec.send(h11.EndOfMessage()) or b""
-        if pause_s:
+    async def _send(self, record: RequestRecord, call: Call) -> None:
+        data = call.data(self.codec)
+        if call.pause_s:
             self.writer.write(data[:-1])
-            await asyncio.sleep(pause_s)
+            await asyncio.sleep(call.pause_s)
             data = data[-1:]
         if self.writer.is_closing() or self.reader.at_eof():
             raise EOFError
@@ -207,7 +207,7 @@
         limit_s = min(patience_s, self.route_timeout_s)
         record = RequestRecord(name, connection.target, limit_s, time.monotonic())
         pause_s = chance.uniform(*SLOW_S) if chance.random() < SLOW_SHARE else 0.0
-        await connection.call(record, "POST", path, headers, body, min(pause_s, limit_s / 2))
+        await connection.call(record, Call("POST", path, headers, body, min(pause_s, limit_s / 2)))
         self.records.append(record)
         self.outcomes[_outcome(record)] += 1
 
@@ -231,7 +231,7 @@
             if connection is not None:
                 number = f"{self.name} read {len(self.records)}"
                 record = RequestRecord(number, self.name, self.PATIENCE_S, time.monotonic())
-                await connection.call(record, "GET", "/Configuration.Read", [("Host", "x")], b"")
+                await connection.call(record, Call("GET", "/Configuration.Read", [("Host", "x")]))
                 self.records.append(record)
             await asyncio.sleep(self.INTERVAL_S)
         if connection is not None:
