Hold the signals of the process, not of whoever runs a role in its own

Seen as failures of test_handover, test_process and test_process_signals, by order of the tests, twice (logs kept); traced to the mask that child processes inherit. Change: only the program's main holds them (plumline.cli, elmglade's run).

Also, nothing changed in what it does: names of the request path (attempts, may_have_run, retry_granted, retry_after_s, client_left, ...) say what they are, admission is split in two functions.

--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -122,8 +122,6 @@
         code = await sender.run()
     if calls:
         calls.cancel()
-    if code != AGAIN:
-        hold_signals()
     return code
 
 
@@ -141,7 +139,10 @@
 
 def run() -> int:
     with asyncio.Runner(loop_factory=Loop) as runner:
-        return runner.run(serve(read_config()))
+        code = runner.run(serve(read_config()))
+        if code != AGAIN:
+            hold_signals()
+        return code
 
 
 def main() -> int:
--- a/plumline/cli.py
+++ b/plumline/cli.py
@@ -43,6 +43,7 @@
 def run_role(role: str) -> None:
     """Runs the role until it ends; ends the program if its settings or its store are at fault."""
     from plumline import settings
+    from plumline.process_signals import run_to_end
 
     try:
         loaded = settings.from_environment()
@@ -53,7 +54,8 @@
     else:
         from plumline.registrar.process import run
     try:
-        asyncio.run(run(loaded, settings.SettingsFile(os.environ.get(settings.SETTINGS_VARIABLE))))
+        file = settings.SettingsFile(os.environ.get(settings.SETTINGS_VARIABLE))
+        asyncio.run(run_to_end(run(loaded, file)))
     except PlumlineError as error:
         stop(error, EXIT_FAILED)
 
--- a/plumline/process_signals.py
+++ b/plumline/process_signals.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 
@@ -17,9 +18,15 @@
 
 
 def hold_signals() -> None:
-    """Called when the process has done all its work: a signal that comes from now on stays pending.
+    """For a process that has done its last work: signals stay pending from now on, in child processes too.
 
     The event loop takes the handlers away as it closes, and the default action would then end the process
     with the signal's status in place of 0.
     """
     signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+
+
+async def run_to_end(work: Coroutine[Any, Any, None]) -> None:
+    """Does the last work of this process, and holds its signals before the event loop closes."""
+    await work
+    hold_signals()
--- a/plumline/registrar/process.py
+++ b/plumline/registrar/process.py
@@ -13,7 +13,7 @@
 from plumline.coordination.soft_state import SoftState
 from plumline.coordination.view import View
 from plumline.counters import Counters
-from plumline.process_signals import handle_signals, hold_signals
+from plumline.process_signals import handle_signals
 from plumline.registrar.durable_state import DurableState
 from plumline.registrar.message_handlers import PeerMessageHandler, RouterMessageHandler
 from plumline.registrar.operator_api import OperatorApi
@@ -196,7 +196,6 @@
         handle_signals(self.loop, self.stop_requested.set, self.settings_file.request_reload)
         if await self._is_durable():
             await self._serve()
-        hold_signals()
 
     async def _serve(self) -> None:
         """From the first request to the end of the shutdown."""
--- a/plumline/router/admission.py
+++ b/plumline/router/admission.py
@@ -13,9 +13,9 @@
 from plumline.wire.exchange import Exchange
 from plumline.wire.http import decimal
 
-NOT_YET = 0.3  # s a client is told where no configuration is here yet
-ELSEWHERE = 0.0  # s a client is told where this router is about to end: any other one can serve it now
-MOST_RANK = 4  # ranks from here on count alike: an endpoint knows ten, two for each
+UNCONFIGURED_RETRY_AFTER_S = 0.3  # where no configuration is here yet, or it may be an old one
+DRAINING_RETRY_AFTER_S = 0.0  # where this router is about to end: any other one can serve it at once
+MAX_PRIORITY_RANK = 4  # ranks from here on count alike: an endpoint knows ten, two for each
 
 
 @dataclass(slots=True)
@@ -60,30 +60,42 @@
 
 @dataclass(slots=True)
 class Denial:
-    """The answer to one that has not been. `come_back`: in s."""
+    """The answer to one that has not been. `retry_after_s`: what its client is told."""
 
     status: int
     name: str
-    come_back: float | None = None
+    retry_after_s: float | None = None
 
 
 def admit(router: RouterState, exchange: Exchange, request_id: bytes | None) -> Request | Denial:
     """The request, with all that its head says, or why it is not admitted."""
-    fleet, table = router.fleet, router.fleet.table
+    table = router.fleet.table
     if table is None:
-        return Denial(503, "no-configuration", NOT_YET)
+        return Denial(503, "no-configuration", UNCONFIGURED_RETRY_AFTER_S)
     if router.may_know_revoked_keys():
-        return Denial(503, "revocation-unsure", NOT_YET)
+        return Denial(503, "revocation-unsure", UNCONFIGURED_RETRY_AFTER_S)
     route = table.match(exchange.host, exchange.path)
     if route is None:
         return denied(router, 404, "no-route")
     tenant = tenant_of(table, exchange.headers)
     if table.has_tenants and tenant is None and not route.public:
         return denied(router, 401, "no-tenant")
-    now = router.clock()
-    until = exchange.began + min(told_time(exchange.headers), route.timeout_ms) / 1000
-    if router.drain is not None and not router.drain.admits(now, until):
-        return Denial(503, "draining", ELSEWHERE)
+    until = exchange.began + min(remaining_ms(exchange.headers), route.timeout_ms) / 1000
+    if router.drain is not None and not router.drain.admits(router.clock(), until):
+        return Denial(503, "draining", DRAINING_RETRY_AFTER_S)
+    return admit_to_service(router, exchange, request_id, route, tenant, until)
+
+
+def admit_to_service(
+    router: RouterState,
+    exchange: Exchange,
+    request_id: bytes | None,
+    route: Route,
+    tenant: Tenant | None,
+    until: float,
+) -> Request | Denial:
+    """Chooses the route's service for the request, counts it there, and checks its tenant's share."""
+    now, fleet = router.clock(), router.fleet
     service = route.choose_service(router.chance)
     router.budget.record_request(now, service)
     prompt = read_prompt(
@@ -98,7 +110,7 @@
         id=request_id,
         method=exchange.method.encode("ascii"),
         target=exchange.target.encode("latin-1"),
-        table=table,
+        table=fleet.table,
         route=route,
         tenant=tenant,
         service=service,
@@ -107,7 +119,7 @@
         prompt=prompt,
         standing=standing,
         # Short prompts go before long ones: they cost those little, the other way much.
-        priority=priority(rank_of(route, tenant), prompt.long, MOST_RANK, standing),
+        priority=priority(rank_of(route, tenant), prompt.long, MAX_PRIORITY_RANK, standing),
     )
 
 
@@ -131,7 +143,7 @@
     """A router that may not know the newest configuration doesn't say 4xx, which nobody repeats."""
     if router.fleet.fresh:
         return Denial(status, name)
-    return Denial(503, f"{name}-unsure", NOT_YET)
+    return Denial(503, f"{name}-unsure", UNCONFIGURED_RETRY_AFTER_S)
 
 
 def owner_of(tenant: Tenant | None) -> str:
@@ -142,22 +154,23 @@
 def rank_of(route: Route, tenant: Tenant | None) -> int:
     """How urgent it is, 0 first: the tenant's priority where it has one, else the route's."""
     told = tenant.priority if tenant else None
-    return min(max(route.priority if told is None else told, 0), MOST_RANK)
+    return min(max(route.priority if told is None else told, 0), MAX_PRIORITY_RANK)
 
 
-def told_time(headers: Headers) -> float:
+def remaining_ms(headers: Headers) -> float:
     """Ms that the client waits, infinite if it doesn't say."""
     told = value_of(headers, b"remaining-milliseconds")
     ms = decimal(told.decode("latin-1")) if told else None
     return float("inf") if ms is None else ms
 
 
-def read_prompt(headers: Headers, aim_ms: float) -> Prompt:
-    """The prompt as the headers tell it. `aim_ms`: the shortest aim of the service's routes."""
+def read_prompt(headers: Headers, latency_target_ms: float) -> Prompt:
+    """The prompt as the headers tell it. `latency_target_ms`: the shortest one of the
+    service's routes."""
     model = (value_of(headers, b"model-name") or b"").decode("latin-1")
     prefix = value_of(headers, b"prompt-prefix")
     parts = parse_parts(prefix.decode("latin-1")) if model and prefix else []
     counts = (value_of(headers, b"token-counts") or b"").decode("latin-1")
     tokens = max(prompt_tokens(counts), size_of(parts))
-    long = is_long(tokens / READ_RATE, aim_ms)
+    long = is_long(tokens / READ_RATE, latency_target_ms)
     return Prompt(model, parts, tokens, output_tokens(counts) * TOKEN_MS, long)
--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -5,7 +5,7 @@
 import h11
 
 from plumline.prefix_cache.index import Placement
-from plumline.router.progress import COME_BACK, MARGIN, Proof
+from plumline.router.progress import RESPONSE_MARGIN_S, RETRY_AFTER_RANGE_S, Proof
 from plumline.router.relay import (
     LONGEST_END,
     EventJoiner,
@@ -149,16 +149,16 @@
         try:
             connection = await router.pool.connect(key, self.endpoint.address)
         except UpstreamConnectError:
-            progress.connects += 1
-            progress.tried.add(key)
+            progress.failed_connects += 1
+            progress.attempted.add(key)
             router.outcomes.failed(self.call, router.clock())
             self.count("connect-failed")
             return None
         self.count("connected")
         progress.connection = connection
-        if not (progress.gone or progress.expired) and self.still_there() and self.sent_on(connection):
+        if not (progress.client_left or progress.expired) and self.still_there() and self.sent_on(connection):
             return connection
-        progress.connects += 1
+        progress.failed_connects += 1
         return None
 
     def sent_on(self, connection: UpstreamConnection) -> bool:
@@ -166,7 +166,7 @@
         request, progress, router = self.request, self.progress, self.router
         progress.connection = connection
         self.began = router.clock()
-        left = int((request.until - self.began - MARGIN) * 1000)
+        left = int((request.until - self.began - RESPONSE_MARGIN_S) * 1000)
         if left <= 0:
             progress.expired = True
             return False
@@ -175,9 +175,9 @@
         except UpstreamUnsentError:
             self.count("unsent")
             return False
-        progress.sends += 1
-        progress.granted = False
-        progress.tried.add(self.endpoint.id)
+        progress.attempts += 1
+        progress.retry_granted = False
+        progress.attempted.add(self.endpoint.id)
         if self.salt:
             router.affinity.sent(self.salt.text, request.prompt.parts, self.endpoint.id, self.began)
         self.place()
@@ -188,7 +188,7 @@
         request, progress = self.request, self.progress
         exchange, prompt, key = request.exchange, request.prompt, self.endpoint.id
         headers = list(request.base)
-        if progress.joiner and progress.started and progress.joiner.last is not None:
+        if progress.joiner and progress.response_started and progress.joiner.last is not None:
             headers = [each for each in headers if each[0] != b"last-event-id"]
             headers.append((b"last-event-id", progress.joiner.last))
         headers.append((b"expected-instance", key.encode()))
@@ -222,7 +222,7 @@
     def broken(self) -> Proof:
         """The connection has ended without a whole answer."""
         progress, now = self.progress, self.router.clock()
-        if progress.gone:
+        if progress.client_left:
             self.count("client-gone")
             return Proof.MAY_HAVE_RUN
         if progress.expired:
@@ -250,7 +250,7 @@
             return self.spoilt("surplus")
         if status == 421 or value_of(headers, b"not-executed") is not None:
             if (proof := self.turned_away(status, headers)) is not None:
-                if not progress.gone and connection.finish_now():
+                if not progress.client_left and connection.finish_now():
                     self.keep(connection, headers)
                 return proof
         elif status in PROMISES:
@@ -262,7 +262,7 @@
             return self.spoilt("unsealed")
         if status >= 500 and request.route.idempotent and self.could_repeat():
             return self.spoilt("error")
-        if progress.started and not (status == 200 and is_event_stream(headers)):
+        if progress.response_started and not (status == 200 and is_event_stream(headers)):
             return self.spoilt("not-resumed")
         return await self.relay(connection, status, headers)
 
@@ -290,24 +290,26 @@
                 router.shunned[key] = now + SHUNNED
             return Proof.NOT_RUN
         if status < 500 and status not in PROMISES:
-            return None if not progress.started else Proof.NOT_RUN
+            return None if not progress.response_started else Proof.NOT_RUN
         self.count("turned-away")
         router.shares.ended(request.service, True)
         wait = seconds(value_of(headers, b"retry-after"))
         router.outcomes.refused(self.call, now, wait)
-        progress.come_back = max(wait, router.outcomes.ready_in(key, now)) if wait else COME_BACK[0]
+        progress.retry_after_s = (
+            max(wait, router.outcomes.ready_in(key, now)) if wait else RETRY_AFTER_RANGE_S[0]
+        )
         return Proof.NOT_RUN
 
     def could_repeat(self) -> bool:
         """Whether another endpoint could be sent the request now."""
-        if self.progress.sends >= self.request.route.attempt_limit:
+        if self.progress.attempts >= self.request.route.attempt_limit:
             return False
         return self.selection.pick(self.router.clock())[0] is not None
 
     async def relay(self, connection: UpstreamConnection, status: int, headers: Headers) -> Proof:
         """The body as it comes. The head waits for the first piece: a break before that can be mended."""
         progress, exchange = self.progress, self.request.exchange
-        if not progress.started:
+        if not progress.response_started:
             resumable = is_event_stream(headers) and status == 200 and self.request.route.resumable
             progress.joiner = EventJoiner() if resumable else None
         if progress.joiner:
@@ -327,12 +329,12 @@
             data = self.part_of(event)
             if not (data or ended):
                 continue
-            if progress.gone or exchange.done:
+            if progress.client_left or exchange.done:
                 return self.cut_off()
             self.pass_on(status, headers, data)
             if not ended:
                 await exchange.drain()
-            if progress.gone or exchange.done:
+            if progress.client_left or exchange.done:
                 return self.cut_off()
         return self.answered(connection, status, headers)
 
@@ -349,8 +351,8 @@
     def pass_on(self, status: int, headers: Headers, data: bytes) -> None:
         """Writes a part of the answer to the client, behind the head of its first run."""
         progress, exchange = self.progress, self.request.exchange
-        if not progress.started:
-            progress.started = True
+        if not progress.response_started:
+            progress.response_started = True
             exchange.start(status, answer_headers(headers, with_length=progress.joiner is None))
         if data:
             exchange.write(data)
@@ -368,7 +370,7 @@
 
     def cut_off(self) -> Proof:
         """The client is gone, or its time was up while it didn't read."""
-        self.count("client-gone" if self.progress.gone else "unfinished")
+        self.count("client-gone" if self.progress.client_left else "unfinished")
         return Proof.ANSWERED
 
     def first_piece(self) -> None:
--- a/plumline/router/lifecycle.py
+++ b/plumline/router/lifecycle.py
@@ -20,32 +20,32 @@
 
 
 class Lifecycle:
-    """Starting, until `equipped()` (a configuration and a list of endpoints are known); ready from then on,
-    on what was known last if need be; draining from `begin_shutdown`; stopped once nobody is owed an answer,
-    or shortly before `grace` s are over."""
+    """Starting, until `is_equipped()` (a configuration and a list of endpoints are known); ready from then
+    on, on what was known last if need be; draining from `begin_shutdown`; stopped once nobody is owed an
+    answer, or shortly before `grace_s` are over."""
 
     def __init__(
         self,
         server: Server,
-        equipped: Callable[[], bool],
-        grace: float,
+        is_equipped: Callable[[], bool],
+        grace_s: float,
         *,
         on_drain: Callable[[DrainDeadlines], None] = lambda _: None,
         end_requests: Callable[[], None] = lambda: None,
     ) -> None:
         """`on_drain` is told the deadlines as the shutdown begins; `end_requests` gives every request that is
         still unanswered its final response, or cuts one whose response has begun."""
-        self.server, self.equipped, self.grace = server, equipped, grace
+        self.server, self.is_equipped, self.grace_s = server, is_equipped, grace_s
         self.on_drain, self.end_requests = on_drain, end_requests
         self.loop = asyncio.get_running_loop()
         self.phase = Phase.STARTING
         self.deadlines: DrainDeadlines | None = None  # once draining
-        self.asked = asyncio.Event()
+        self._shutdown_requested = asyncio.Event()
         self.unanswered = 0  # requests that had no complete response when the responses were due
 
     def ready(self) -> bool:
         """Whether it may be given new connections; the first time it may, it is ready from then on."""
-        if self.phase is Phase.STARTING and self.equipped():
+        if self.phase is Phase.STARTING and self.is_equipped():
             self.phase = Phase.READY
         return self.phase is Phase.READY
 
@@ -54,14 +54,14 @@
         if self.phase in (Phase.DRAINING, Phase.STOPPED):
             return
         self.phase = Phase.DRAINING
-        self.deadlines = DrainDeadlines.from_grace_period(self.loop.time(), self.grace)
+        self.deadlines = DrainDeadlines.from_grace_period(self.loop.time(), self.grace_s)
         self.on_drain(self.deadlines)
         self.server.begin_ending()
-        self.asked.set()
+        self._shutdown_requested.set()
 
     async def run_until_stopped(self) -> None:
         """Returns when the process may end. Nothing that was read is left unanswered while there is time."""
-        await self.asked.wait()
+        await self._shutdown_requested.wait()
         assert self.deadlines is not None
         await asyncio.sleep(max(self.deadlines.notice_ends_at - self.loop.time(), 0.0))
         self.server.stop_accepting()
--- a/plumline/router/process.py
+++ b/plumline/router/process.py
@@ -4,7 +4,7 @@
 
 from plumline import logs
 from plumline.counters import Counters
-from plumline.process_signals import handle_signals, hold_signals
+from plumline.process_signals import handle_signals
 from plumline.router.dispatch import Dispatcher
 from plumline.router.lifecycle import Lifecycle
 from plumline.router.readiness import Readiness
@@ -45,14 +45,14 @@
         )
         self.lifecycle = Lifecycle(
             self.server,
-            self.equipped,
+            self.is_equipped,
             bounds.grace_period_s,
             on_drain=self.dispatcher.begin_draining,
             end_requests=self.dispatcher.end_requests,
         )
         self.readiness = Readiness(self.lifecycle.ready)
 
-    def equipped(self) -> bool:
+    def is_equipped(self) -> bool:
         """Whether a configuration and a list of endpoints are known."""
         return self.fleet.table is not None and bool(self.fleet.endpoints)
 
@@ -83,7 +83,6 @@
         for line in self.counters.changed_lines():
             log.info(line)
         log.info(logs.event("stopped", **self.lifecycle.drain_summary()))
-        hold_signals()
 
 
 async def run(settings: Settings, file: SettingsFile | None = None) -> None:
--- a/plumline/router/progress.py
+++ b/plumline/router/progress.py
@@ -7,9 +7,9 @@
 from plumline.router.relay import EventJoiner
 from plumline.router.upstream import UpstreamConnection
 
-MOST_CONNECTS = 3  # connections that may fail under one request
-MARGIN = 0.02  # s of a request's time that the way back may take
-COME_BACK = (0.2, 1.0)  # s, the least and the most that a refused client is told
+MAX_FAILED_CONNECTS = 3  # connections that may fail under one request
+RESPONSE_MARGIN_S = 0.02  # s of a request's time that the way back may take
+RETRY_AFTER_RANGE_S = (0.2, 1.0)  # s, the least and the most that a refused client is told
 
 
 class Proof(Enum):
@@ -25,22 +25,22 @@
     """Kept by the job, changed by its choices and sends as well."""
 
     expired: bool = False  # its time is up
-    gone: bool = False  # its client is
-    ran: bool = False  # it may have run at some endpoint
-    granted: bool = False  # the budget has given the next send
-    started: bool = False  # the head of an answer has gone to the client
-    over_share: bool = False  # and not sent for it
-    sends: int = 0
-    connects: int = 0  # connections that failed, or never carried it
-    tried: set[str] = field(default_factory=set)  # endpoints that were sent it, or couldn't be
-    come_back: float = COME_BACK[0]  # s that a refused client is told
+    client_left: bool = False  # its client is
+    may_have_run: bool = False  # it may have run at some endpoint
+    retry_granted: bool = False  # the budget has given the next send
+    response_started: bool = False  # the head of an answer has gone to the client
+    quota_exceeded: bool = False  # and not sent for it
+    attempts: int = 0
+    failed_connects: int = 0  # connections that failed, or never carried it
+    attempted: set[str] = field(default_factory=set)  # endpoints that were sent it, or couldn't be
+    retry_after_s: float = RETRY_AFTER_RANGE_S[0]  # s that a refused client is told
     joiner: EventJoiner | None = None
     connection: UpstreamConnection | None = None  # of the send under way
 
     def may_send(self, route: Route) -> bool:
         """Whether one more send is allowed, by its route and by what the sends before it proved."""
-        if self.sends >= route.attempt_limit or self.connects >= MOST_CONNECTS:
+        if self.attempts >= route.attempt_limit or self.failed_connects >= MAX_FAILED_CONNECTS:
             return False
-        if self.started and not (self.joiner and self.joiner.may_join()):
+        if self.response_started and not (self.joiner and self.joiner.may_join()):
             return False
-        return not self.ran or route.idempotent
+        return not self.may_have_run or route.idempotent
--- a/plumline/router/request_handler.py
+++ b/plumline/router/request_handler.py
@@ -5,14 +5,14 @@
 from plumline import logs
 from plumline.router.admission import Denial, Request, admit
 from plumline.router.attempt import attempt
-from plumline.router.progress import COME_BACK, MARGIN, Progress, Proof
+from plumline.router.progress import RESPONSE_MARGIN_S, RETRY_AFTER_RANGE_S, Progress, Proof
 from plumline.router.relay import Headers, value_of
 from plumline.router.router_state import RouterState
 from plumline.router.selection import Selection
 from plumline.routing.reserved_quota import CALM
 from plumline.wire.exchange import Exchange
 
-WAIT_SHARE = 1 / 8  # of the aim: how long a request may be held, once, for an endpoint to be ready
+MAX_HOLD_SHARE = 1 / 8  # of the aim: how long a request may be held, once, for an endpoint to be ready
 
 log = logs.logger("dispatch")
 
@@ -34,18 +34,18 @@
         try:
             admitted = admit(self.router, exchange, self.id)
             if isinstance(admitted, Denial):
-                self.answer(admitted.status, admitted.name, admitted.come_back)
+                self.answer(admitted.status, admitted.name, admitted.retry_after_s)
                 return
             self.standing = admitted.standing
             exchange.on_gone = self.client_gone
-            progress.gone = exchange.gone
+            progress.client_left = exchange.gone
             left = admitted.until - self.router.clock()
             self.timer = asyncio.get_running_loop().call_later(max(left, 0), self.expire)
             await self.work(admitted)
         except Exception:
             self.count("failed")
             log.exception("a request could not be handled")
-            progress.ran = progress.ran or progress.sends > 0
+            progress.may_have_run = progress.may_have_run or progress.attempts > 0
             if not exchange.done:
                 self.give_up()
         finally:
@@ -64,12 +64,12 @@
         self.progress.expired = True
         if self.progress.connection:
             self.progress.connection.close()
-        if self.progress.started and not self.exchange.done:
+        if self.progress.response_started and not self.exchange.done:
             self.exchange.abort()  # also wakes who waits for a client that doesn't read
 
     def client_gone(self) -> None:
         """Its client has left."""
-        self.progress.gone = True
+        self.progress.client_left = True
         if self.progress.connection:
             self.progress.connection.close()  # the endpoint drops the request
 
@@ -78,7 +78,7 @@
         progress = self.progress
         progress.expired = True
         if not (self.exchange.done or self.exchange.gone):
-            progress.ran = progress.ran or progress.connection is not None
+            progress.may_have_run = progress.may_have_run or progress.connection is not None
             self.give_up()
         if progress.connection:
             progress.connection.close()
@@ -92,30 +92,30 @@
         route = request.route
         while True:
             now = router.clock()
-            if progress.gone:
+            if progress.client_left:
                 self.count("client-gone")
                 return
-            if progress.expired or request.until - now <= MARGIN or not progress.may_send(route):
+            if progress.expired or request.until - now <= RESPONSE_MARGIN_S or not progress.may_send(route):
                 break
             picked, wait = selection.pick(now)
             if picked is None:
                 if held or wait > min(
-                    route.latency_target_ms / 1000 * WAIT_SHARE, request.until - now - MARGIN
+                    route.latency_target_ms / 1000 * MAX_HOLD_SHARE, request.until - now - RESPONSE_MARGIN_S
                 ):
-                    progress.come_back = wait if wait < float("inf") else progress.come_back
+                    progress.retry_after_s = wait if wait < float("inf") else progress.retry_after_s
                     break
                 held = True
                 await asyncio.sleep(wait)
                 continue
-            if progress.sends and not progress.granted:
+            if progress.attempts and not progress.retry_granted:
                 if not router.budget.try_spend(now, request.service, router.fleet.routers):
                     self.count("over-budget")
                     break
-                progress.granted = True
+                progress.retry_granted = True
             proof = await attempt(selection, picked)
             if proof is Proof.ANSWERED:
                 return
-            progress.ran |= proof is Proof.MAY_HAVE_RUN
+            progress.may_have_run |= proof is Proof.MAY_HAVE_RUN
         self.give_up()
 
     # Answers of our own.
@@ -126,25 +126,25 @@
         if self.ended:
             return
         self.ended = True
-        if self.exchange.done or progress.gone:
+        if self.exchange.done or progress.client_left:
             self.count("client-gone")
-        elif progress.started:
+        elif progress.response_started:
             self.count("cut")
             self.exchange.abort()
-        elif progress.over_share and not progress.ran:
+        elif progress.quota_exceeded and not progress.may_have_run:
             self.answer(429, "over-share", self.standing.wait)
-        elif not progress.ran:
-            least, most = COME_BACK
-            self.answer(503, "refused", min(max(progress.come_back, least), most))
+        elif not progress.may_have_run:
+            least, most = RETRY_AFTER_RANGE_S
+            self.answer(503, "refused", min(max(progress.retry_after_s, least), most))
         else:
             self.answer(504 if progress.expired else 502, "late" if progress.expired else "unclear")
 
-    def answer(self, status: int, name: str, come_back: float | None = None) -> None:
-        """An answer of our own, with `Retry-After` where `come_back` (s) is told."""
+    def answer(self, status: int, name: str, retry_after_s: float | None = None) -> None:
+        """An answer of our own, with `Retry-After` where `retry_after_s` is given."""
         self.count(name)
         headers: Headers = [(b"content-type", b"text/plain; charset=utf-8")]
         if self.id is not None:
             headers.append((b"attempt-id", self.id))
-        if come_back is not None:
-            headers.append((b"retry-after", b"%.2f" % come_back))
+        if retry_after_s is not None:
+            headers.append((b"retry-after", b"%.2f" % retry_after_s))
         self.exchange.respond(status, headers, name.encode() + b"\n")
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -6,7 +6,7 @@
 from plumline.configuration.entities import Service
 from plumline.prefix_cache.blocks import size_of
 from plumline.router.admission import Request
-from plumline.router.progress import COME_BACK, Progress
+from plumline.router.progress import RETRY_AFTER_RANGE_S, Progress
 from plumline.router.router_state import RouterState, address_text
 from plumline.routing.cache_salt import Salt, salt_for
 from plumline.routing.endpoint_scoring import READ_RATE, Candidate, choose, expected_ms
@@ -52,7 +52,7 @@
         """The endpoint to send to; if there is none, s until one may be ready (infinite: not by waiting)."""
         router = self.router
         endpoints = router.by_service.get(self.request.service, ())
-        if not self.progress.tried:
+        if not self.progress.attempted:
             router.outcomes.asked([each.id for each in endpoints], max(len(endpoints), 1), now)
         router.index.age(now)
         look = self.look(now)
@@ -88,7 +88,7 @@
     def ready_in(self, endpoint: Endpoint, look: Look) -> float:
         """S until the endpoint may be sent the request; 0: now, infinite: not by waiting."""
         router, key, model = self.router, endpoint.id, self.request.prompt.model
-        if endpoint.draining or endpoint.moving or key in self.progress.tried or key in router.gone:
+        if endpoint.draining or endpoint.moving or key in self.progress.attempted or key in router.gone:
             return math.inf
         if (shunned_until := router.shunned.get(key, 0.0)) > look.now:
             return shunned_until - look.now
@@ -226,10 +226,10 @@
         over = (
             request.standing.over
             and expected_ms(best) > request.route.latency_target_ms
-            and not self.progress.sends
+            and not self.progress.attempts
         )
         if over:
-            self.progress.over_share = True
+            self.progress.quota_exceeded = True
         return over
 
     def is_too_late(self, best: Candidate, now: float) -> bool:
@@ -241,7 +241,7 @@
         if late_ms <= 0:
             return False
         self.router.counters.add("request-shed")
-        self.progress.come_back = min(max(late_ms / 1000, COME_BACK[0]), COME_BACK[1])
+        self.progress.retry_after_s = min(max(late_ms / 1000, RETRY_AFTER_RANGE_S[0]), RETRY_AFTER_RANGE_S[1])
         return True
 
     def patience_ms(self, now: float) -> float:
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -477,7 +477,7 @@
 def test_ready_once_equipped_and_from_then_on() -> None:
     async def scene(stage: Scene) -> None:
         known = False
-        life = Lifecycle(stage.server, lambda: known, grace=8.0)
+        life = Lifecycle(stage.server, lambda: known, grace_s=8.0)
         assert not life.ready() and life.phase is Phase.STARTING
         known = True
         assert life.ready() and life.phase is Phase.READY
@@ -498,7 +498,7 @@
         idle.send(GET)
         (await stage.seen.get()).respond(200)
         await idle.head()
-        life = Lifecycle(server, lambda: True, grace=3.0)
+        life = Lifecycle(server, lambda: True, grace_s=3.0)
         stopped = asyncio.ensure_future(life.run_until_stopped())
         life.begin_shutdown()
         late = await Client.to(server)  # new connections are still taken
@@ -525,7 +525,7 @@
         client.send(GET)
         got = await stage.seen.get()
         event = gone_event(got)
-        life = Lifecycle(stage.server, lambda: True, grace=1.5)
+        life = Lifecycle(stage.server, lambda: True, grace_s=1.5)
         loop = asyncio.get_running_loop()
         began = loop.time()
         life.begin_shutdown()
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -12,6 +12,7 @@
 import asyncio, os, signal, sys
 from pathlib import Path
 from plumline.settings import Bounds, Settings
+from plumline.process_signals import run_to_end
 from plumline.registrar.process import RegistrarProcess
 from plumline.router.process import Router
 
@@ -23,7 +24,7 @@
     asyncio.get_running_loop().call_later(0.1, os.kill, os.getpid(), signal.SIGTERM)
     await process.run()
 
-asyncio.run(run(sys.argv[1], sys.argv[2]))
+asyncio.run(run_to_end(run(sys.argv[1], sys.argv[2])))
 os.kill(os.getpid(), signal.SIGHUP)
 os.kill(os.getpid(), signal.SIGTERM)
 print("ended in order")
--- a/tests/test_request_bounds.py
+++ b/tests/test_request_bounds.py
@@ -21,7 +21,7 @@
 )
 
 from plumline.configuration.route_table import RouteTable
-from plumline.router.admission import told_time
+from plumline.router.admission import remaining_ms
 from plumline.router.process import UNTOLD_LIMITS
 from plumline.wire.server import FixedLimits, Server
 
@@ -31,7 +31,7 @@
     [(b"1500", 1500.0), (b"1500.5", 1500.5), (b"0", 0.0), (b"soon", None), (b"-1", None), (b"1e9", None)],
 )
 def test_the_time_that_a_client_tells(told: bytes, ms: float | None) -> None:
-    assert told_time([(b"remaining-milliseconds", told)]) == (float("inf") if ms is None else ms)
+    assert remaining_ms([(b"remaining-milliseconds", told)]) == (float("inf") if ms is None else ms)
 
 
 def test_every_send_tells_a_time_that_ends_with_the_clients() -> None:
--- a/tests/test_sender_drain.py
+++ b/tests/test_sender_drain.py
@@ -233,7 +233,6 @@
             return await loop.create_future()
 
         monkeypatch.setattr(sender_main, "come_into", wait_forever)
-        monkeypatch.setattr(sender_main, "hold_signals", lambda: None)  # this process goes on
         async with Platform() as platform:
             return await soon(sender_main.serve(sender_main.config_from(config_json(platform), tmp_path)))
 
@@ -252,7 +251,6 @@
             return estate
 
         monkeypatch.setattr(sender_main, "come_into", told_meanwhile)
-        monkeypatch.setattr(sender_main, "hold_signals", lambda: None)
         async with Platform() as platform:
             return await soon(sender_main.serve(sender_main.config_from(config_json(platform), tmp_path)))
 
--- a/tests/test_wire_properties.py
+++ b/tests/test_wire_properties.py
@@ -98,13 +98,13 @@
         "self.router.outcomes.failed(self.call, now)\n    return Proof.MAY_HAVE_RUN",
         "return Proof.NOT_RUN",
     ),
-    Guard(RequestHandler, "work", "progress.ran |= proof is Proof.MAY_HAVE_RUN", "pass"),
-    Guard(RequestHandler, "give_up", "elif not progress.ran:", "elif True:"),
+    Guard(RequestHandler, "work", "progress.may_have_run |= proof is Proof.MAY_HAVE_RUN", "pass"),
+    Guard(RequestHandler, "give_up", "elif not progress.may_have_run:", "elif True:"),
     # Who may send it again, and how often.
-    Guard(Progress, "may_send", "return not self.ran or route.idempotent", "return True"),
-    Guard(Progress, "may_send", "self.sends >= route.attempt_limit or ", ""),
-    Guard(Send, "sent_on", "progress.granted = False", "pass"),
-    Guard(Selection, "ready_in", "key in self.progress.tried or ", ""),
+    Guard(Progress, "may_send", "return not self.may_have_run or route.idempotent", "return True"),
+    Guard(Progress, "may_send", "self.attempts >= route.attempt_limit or ", ""),
+    Guard(Send, "sent_on", "progress.retry_granted = False", "pass"),
+    Guard(Selection, "ready_in", "key in self.progress.attempted or ", ""),
     # Whole answers only.
     Guard(Send, "receive", 'return self.spoilt("unsealed")', "pass"),
     Guard(Send, "relay", "if needs_end and not ends_event(tail):", "if False:"),
@@ -119,7 +119,7 @@
     # One request at a time on a connection; nothing for a client that has gone, or after its time.
     Guard(Connection, "advance", "self.phase in (Phase.ANSWER, Phase.LEAVING) or ", ""),
     Guard(RequestHandler, "client_gone", "self.progress.connection.close()", "pass"),
-    Guard(RequestHandler, "work", "if progress.gone:", "if False:"),
+    Guard(RequestHandler, "work", "if progress.client_left:", "if False:"),
     Guard(RequestHandler, "expire", "self.progress.connection.close()", "pass"),
 ]
 
