Give a request that is read as all requests are ended one answer only

Cause, found by reading the change again: a handler that had not had its first step when requests were ended answered twice, which was caught and counted as request-failed. The test fails without the guard.

--- a/plumline/router/request_handler.py
+++ b/plumline/router/request_handler.py
@@ -31,6 +31,8 @@
     async def run(self) -> None:
         """From admission to the one answer that the exchange is owed."""
         exchange, progress = self.exchange, self.progress
+        if self.ended:  # before its first step
+            return
         try:
             admitted = admit(self.router, exchange, self.id)
             if isinstance(admitted, Denial):
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -6,6 +6,7 @@
 from drain_world import GRACE_S, PROMISES, DrainWorld, play
 
 from plumline.router.drain import DrainDeadlines
+from plumline.wire.exchange import Exchange
 
 
 def test_a_request_on_a_connection_kept_by_an_answer_from_before_sigterm_is_never_cut() -> None:
@@ -87,6 +88,29 @@
     play(scene)
 
 
+def test_a_request_that_is_read_in_the_last_moment_gets_one_answer() -> None:
+    """Its handler has not had its first step when all requests are ended."""
+
+    async def scene(world: DrainWorld) -> None:
+        dispatcher, client = world.router.dispatcher, world.connect()
+        handle = dispatcher.handle
+
+        def handle_last(exchange: Exchange) -> None:
+            handle(exchange)
+            dispatcher.end_requests()
+
+        dispatcher.begin_draining(DrainDeadlines(0.0, 0.0, 0.0))
+        world.router.server.handler = handle_last
+        last = client.ask(first_s=0.1, last_s=0.2, patience_s=5.0)
+        await last.whole.wait()
+        await dispatcher.drained()
+        assert last.complete and last.status == 503 and last.id not in world.arrivals
+        assert world.router.counters.get("request-failed") == 0
+        world.terminate()
+
+    play(scene)
+
+
 def test_an_answer_that_has_begun_goes_on_until_the_last_moment() -> None:
     async def scene(world: DrainWorld) -> None:
         begun, short = world.connect(), world.connect()
