--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -5,10 +5,9 @@
 import logging
 import os
 import sys
-from collections.abc import Coroutine
 from dataclasses import replace
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any
 
 from elmglade.net.config import Config
 from elmglade.net.control import Control
@@ -17,13 +16,11 @@
 from elmglade.net.loop import Loop
 from elmglade.net.sender import AGAIN, Sender
 from elmglade.settings import settings_from
-from plumline.process_signals import handle_signals, hold_signals
+from plumline.process_signals import finish_unless, handle_signals, hold_signals
 from plumline.wire.http import address_from
 
 MEGABYTE = 1_000_000
 
-Result = TypeVar("Result")
-
 log = logging.getLogger(__name__)
 
 
@@ -113,10 +110,10 @@
     signals = EarlySignals()
     # Without a handler they would end a process that has just taken clients and calls over.
     handle_signals(asyncio.get_running_loop(), signals.on_terminate, signals.on_reload)
-    estate = await unless(signals.end_asked, come_into(config.state))
+    taken_over = await finish_unless(signals.end_asked, come_into(config.state))
     code = 0
-    if estate is not None:
-        sender = Sender(config, estate, control)
+    if taken_over is not None:
+        sender = Sender(config, taken_over.result(), control)
         await sender.start()
         signals.pass_on(sender)
         code = await sender.run()
@@ -125,18 +122,6 @@
     return code
 
 
-async def unless(event: asyncio.Event, work: Coroutine[Any, Any, Result]) -> Result | None:
-    """What the work comes to; None, and the work is cancelled, if the event is set before it ends."""
-    working = asyncio.ensure_future(work)
-    waiting = asyncio.ensure_future(event.wait())
-    await asyncio.wait([working, waiting], return_when=asyncio.FIRST_COMPLETED)
-    waiting.cancel()
-    if working.done():
-        return working.result()
-    working.cancel()
-    return None
-
-
 def run() -> int:
     with asyncio.Runner(loop_factory=Loop) as runner:
         code = runner.run(serve(read_config()))
--- a/plumline/process_signals.py
+++ b/plumline/process_signals.py
@@ -3,7 +3,9 @@
 import asyncio
 import signal
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, TypeVar
+
+Result = TypeVar("Result")
 
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGHUP)
 
@@ -30,3 +32,17 @@
     """Does the last work of this process, and holds its signals before the event loop closes."""
     await work
     hold_signals()
+
+
+async def finish_unless(
+    event: asyncio.Event, work: Coroutine[Any, Any, Result]
+) -> asyncio.Task[Result] | None:
+    """The finished task of the work; None, and the work is cancelled, if the event is set before it ends."""
+    working = asyncio.ensure_future(work)
+    waiting = asyncio.ensure_future(event.wait())
+    await asyncio.wait([working, waiting], return_when=asyncio.FIRST_COMPLETED)
+    waiting.cancel()
+    if working.done():
+        return working
+    working.cancel()
+    return None
--- a/plumline/registrar/process.py
+++ b/plumline/registrar/process.py
@@ -13,7 +13,7 @@
 from plumline.coordination.soft_state import SoftState
 from plumline.coordination.view import View
 from plumline.counters import Counters
-from plumline.process_signals import handle_signals
+from plumline.process_signals import finish_unless, handle_signals
 from plumline.registrar.durable_state import DurableState
 from plumline.registrar.message_handlers import PeerMessageHandler, RouterMessageHandler
 from plumline.registrar.operator_api import OperatorApi
@@ -194,7 +194,10 @@
     async def run(self) -> None:
         """Until SIGTERM, and the shutdown after it. An error of any loop ends the process with it."""
         handle_signals(self.loop, self.stop_requested.set, self.settings_file.request_reload)
-        if await self._is_durable():
+        # Told to end before its incarnation is synced, as on a stalled disk, it has nothing to hand over.
+        synced = await finish_unless(self.stop_requested, self.durable_state.wait_for_incarnation())
+        if synced is not None:
+            synced.result()
             await self._serve()
 
     async def _serve(self) -> None:
@@ -212,18 +215,6 @@
         for task in loops:
             task.cancel()
 
-    async def _is_durable(self) -> bool:
-        """Waits until its incarnation is synced; False if it is told to end before, as on a stalled disk."""
-        synced = self.loop.create_task(self.durable_state.wait_for_incarnation())
-        stop = self.loop.create_task(self.stop_requested.wait())
-        await asyncio.wait([synced, stop], return_when=asyncio.FIRST_COMPLETED)
-        stop.cancel()
-        if not synced.done():
-            synced.cancel()
-            return False
-        synced.result()
-        return True
-
     async def _start_listening(self) -> None:
         await self.mesh.listen(self.settings.internal_address)
         if self.settings.control_plane is not None:
