--- a/tests/test_registrar_drain.py
+++ b/tests/test_registrar_drain.py
@@ -10,6 +10,7 @@
 from peers import play, soon
 from test_registrar_process import formed, settings_for
 
+from plumline.lab.local import Ports
 from plumline.registrar.process import RegistrarProcess
 from plumline.router.process import Router
 from plumline.settings import Settings
@@ -99,12 +100,13 @@
 
     async def scene() -> list[str]:
         any_port = ("127.0.0.1", 0)
+        port = Ports.free(["127.0.0.1"]).internal
         order = Order(monkeypatch)
         folder = tmp_path if role == "registrar" else None
         settings = Settings(
             node_name="n",
             ip_address="127.0.0.1",
-            internal_ports=(47_661, 47_675),
+            internal_ports=(port, port),
             seed_addresses=(("127.0.0.1", 1),),
             first_start=True,
             data_directory=folder,
