Name the soak's and the shutdown's parts by terms of the field

Persistent connections, requests, rng, delays; connections earlier than a shutdown in place of kept ones, which was not what was counted. Nothing changed in what they do, but for the log field requests_on_earlier.

--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -16,7 +16,7 @@
 from elmglade.net.loop import Loop
 from elmglade.net.sender import AGAIN, Sender
 from elmglade.settings import settings_from
-from plumline.process_signals import finish_unless, handle_signals, hold_signals
+from plumline.process_signals import block_signals, finish_unless, handle_signals
 from plumline.wire.http import address_from
 
 MEGABYTE = 1_000_000
@@ -77,27 +77,27 @@
     """Keeps the signals that come before there is a sender, and passes on those that come later."""
 
     def __init__(self) -> None:
-        self.reload_asked, self.end_asked = asyncio.Event(), asyncio.Event()
+        self.reload_requested, self.stop_requested = asyncio.Event(), asyncio.Event()
         self.sender: Sender | None = None
 
     def on_reload(self) -> None:
         """SIGHUP."""
-        self.reload_asked.set()
+        self.reload_requested.set()
         if self.sender is not None:
             reread(self.sender)
 
     def on_terminate(self) -> None:
         """SIGTERM."""
-        self.end_asked.set()
+        self.stop_requested.set()
         if self.sender is not None:
             self.sender.terminate()
 
     def pass_on(self, sender: Sender) -> None:
         """The sender has started: it hears what came before, and all that comes from now on."""
         self.sender = sender
-        if self.reload_asked.is_set():
+        if self.reload_requested.is_set():
             reread(sender)
-        if self.end_asked.is_set():
+        if self.stop_requested.is_set():
             sender.terminate()
 
 
@@ -110,7 +110,7 @@
     signals = EarlySignals()
     # Without a handler they would end a process that has just taken clients and calls over.
     handle_signals(asyncio.get_running_loop(), signals.on_terminate, signals.on_reload)
-    taken_over = await finish_unless(signals.end_asked, come_into(config.state))
+    taken_over = await finish_unless(signals.stop_requested, come_into(config.state))
     code = 0
     if taken_over is not None:
         sender = Sender(config, taken_over.result(), control)
@@ -126,7 +126,7 @@
     with asyncio.Runner(loop_factory=Loop) as runner:
         code = runner.run(serve(read_config()))
         if code != AGAIN:
-            hold_signals()
+            block_signals()
         return code
 
 
--- a/plumline/lab/soak/clients.py
+++ b/plumline/lab/soak/clients.py
@@ -50,21 +50,21 @@
             self.misses[name] = 0 if status == 200 else self.misses[name] + 1
             await asyncio.sleep(READINESS_INTERVAL_S)
 
-    def choose(self, chance: random.Random) -> str:
+    def choose(self, rng: random.Random) -> str:
         """A router that counts as ready; any, if fewer than half are."""
         ready = [name for name, misses in self.misses.items() if misses < MISSES]
-        return chance.choice(ready if 2 * len(ready) >= len(self.routers) else list(self.routers))
+        return rng.choice(ready if 2 * len(ready) >= len(self.routers) else list(self.routers))
 
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A request to be sent. `pause_s`: between the two parts of it, if it is to come slowly."""
+    """A request to be sent. `delay_s`: between the two parts of it, if it is to come slowly."""
 
     method: str
     path: str
     headers: list[tuple[str, str]]
     body: bytes = b""
-    pause_s: float = 0.0
+    delay_s: float = 0.0
 
     def data(self, codec: h11.Connection) -> bytes:
         """All of it, as `codec` puts it on the wire."""
@@ -74,7 +74,7 @@
         return b"".join(codec.send(event) or b"" for event in events)
 
 
-class KeptConnection:
+class PersistentConnection:
     """One HTTP/1.1 connection with one request at a time."""
 
     def __init__(self, target: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -83,7 +83,7 @@
         self.used = False
 
     @classmethod
-    async def open(cls, target: str, address: str) -> "KeptConnection | None":
+    async def open(cls, target: str, address: str) -> "PersistentConnection | None":
         """None if it did not come up."""
         host, _, port = address.rpartition(":")
         try:
@@ -99,7 +99,7 @@
 
     async def call(self, record: RequestRecord, call: Call) -> None:
         """Sends the request and notes in `record` what came of it."""
-        record.on_kept, self.used = self.used, True
+        record.on_reused, self.used = self.used, True
         try:
             async with asyncio.timeout(record.patience_s):
                 await self._send(record, call)
@@ -108,7 +108,7 @@
             record.gave_up = True
         except (OSError, EOFError, h11.RemoteProtocolError):
             pass  # the connection ended before the answer did
-        record.ended = time.monotonic()
+        record.completed_at = time.monotonic()
         if record.complete and self.codec.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
             self.codec.start_next_cycle()
         else:
@@ -116,9 +116,9 @@
 
     async def _send(self, record: RequestRecord, call: Call) -> None:
         data = call.data(self.codec)
-        if call.pause_s:
+        if call.delay_s:
             self.writer.write(data[:-1])
-            await asyncio.sleep(call.pause_s)
+            await asyncio.sleep(call.delay_s)
             data = data[-1:]
         if self.writer.is_closing() or self.reader.at_eof():
             raise EOFError
@@ -147,7 +147,7 @@
             self.writer.close()
 
 
-class KeptClient:
+class PersistentClient:
     """One client after another request: it sends the next one as soon as it has its answer, mostly."""
 
     #: Tokens put out, of 5 ms each: from an answer at once to one that lasts longer than most of the drain.
@@ -155,64 +155,64 @@
     #: Tokens of the prompt, of 0.05 ms each at an idle endpoint.
     PROMPTS = (200, 2000, 20000)
 
-    def __init__(self, front: Front, chance: random.Random, route_timeout_s: float) -> None:
-        self.front, self.chance, self.route_timeout_s = front, chance, route_timeout_s
+    def __init__(self, front: Front, rng: random.Random, route_timeout_s: float) -> None:
+        self.front, self.rng, self.route_timeout_s = front, rng, route_timeout_s
         self.records: list[RequestRecord] = []
         self.sent: dict[str, Sent] = {}
         self.outcomes: Counter[str] = Counter()
 
     async def run(self, until: float) -> None:
         """Until `until` (steady s); the request under way then is still answered."""
-        connection: KeptConnection | None = None
+        connection: PersistentConnection | None = None
         while time.monotonic() < until:
             if connection is None or not connection.stands:
                 connection = await self._connect(connection)
                 continue
-            await self._ask(connection)
-            if self.chance.random() < 0.3:
-                await asyncio.sleep(self.chance.uniform(0.0, 1.5))
+            await self._send_request(connection)
+            if self.rng.random() < 0.3:
+                await asyncio.sleep(self.rng.uniform(0.0, 1.5))
         if connection is not None:
             connection.close()
 
-    async def _connect(self, old: KeptConnection | None) -> KeptConnection | None:
+    async def _connect(self, old: PersistentConnection | None) -> PersistentConnection | None:
         if old is not None:
             old.close()
-        name = self.front.choose(self.chance)
-        connection = await KeptConnection.open(name, self.front.routers[name][0])
+        name = self.front.choose(self.rng)
+        connection = await PersistentConnection.open(name, self.front.routers[name][0])
         if connection is None:
             self.outcomes["no-connection"] += 1
             await asyncio.sleep(RETRY_S)
-        elif self.chance.random() < 0.1:
-            await asyncio.sleep(self.chance.uniform(0.0, 3.0))  # opened well before it is used
+        elif self.rng.random() < 0.1:
+            await asyncio.sleep(self.rng.uniform(0.0, 3.0))  # opened well before it is used
         return connection
 
-    async def _ask(self, connection: KeptConnection) -> None:
-        chance = self.chance
-        patience_s = chance.choice([2.0, 4.0, 6.0, 10.0])
-        name = f"{chance.getrandbits(64):016x}"
-        body = chance.randbytes(64)
-        path = f"/{chance.choice(['chat', 'once'])}/{chance.getrandbits(8):02x}"
-        tokens = chance.choice(self.PROMPTS)
+    async def _send_request(self, connection: PersistentConnection) -> None:
+        rng = self.rng
+        patience_s = rng.choice([2.0, 4.0, 6.0, 10.0])
+        name = f"{rng.getrandbits(64):016x}"
+        body = rng.randbytes(64)
+        path = f"/{rng.choice(['chat', 'once'])}/{rng.getrandbits(8):02x}"
+        tokens = rng.choice(self.PROMPTS)
         headers = [
             ("Host", HOST),
             ("X-Api-Key", "key-open"),
             ("Attempt-Id", name),
             ("Model-Name", "model"),
-            ("Token-Counts", f"{tokens},{chance.choice(self.LENGTHS)}"),
-            ("Prompt-Prefix", f"{chance.getrandbits(3):08x}:{tokens // 2},{name[:8]}:{tokens - tokens // 2}"),
+            ("Token-Counts", f"{tokens},{rng.choice(self.LENGTHS)}"),
+            ("Prompt-Prefix", f"{rng.getrandbits(3):08x}:{tokens // 2},{name[:8]}:{tokens - tokens // 2}"),
             ("Remaining-Milliseconds", str(int(patience_s * 1000))),
         ]
         resumable = path.startswith("/chat/")
         self.sent[name] = Sent(name, "POST", path, body_hash(body), "open", resumable, "model")
         limit_s = min(patience_s, self.route_timeout_s)
         record = RequestRecord(name, connection.target, limit_s, time.monotonic())
-        pause_s = chance.uniform(*SLOW_S) if chance.random() < SLOW_SHARE else 0.0
-        await connection.call(record, Call("POST", path, headers, body, min(pause_s, limit_s / 2)))
+        delay_s = rng.uniform(*SLOW_S) if rng.random() < SLOW_SHARE else 0.0
+        await connection.call(record, Call("POST", path, headers, body, min(delay_s, limit_s / 2)))
         self.records.append(record)
         self.outcomes[_outcome(record)] += 1
 
 
-class KeptOperator:
+class PersistentOperator:
     """An operator's tool that reads the configuration again and again, on kept connections to a registrar."""
 
     INTERVAL_S = 0.15
@@ -224,10 +224,10 @@
 
     async def run(self, until: float) -> None:
         """Until `until` (steady s)."""
-        connection: KeptConnection | None = None
+        connection: PersistentConnection | None = None
         while time.monotonic() < until:
             if connection is None or not connection.stands:
-                connection = await KeptConnection.open(self.name, self.address)
+                connection = await PersistentConnection.open(self.name, self.address)
             if connection is not None:
                 number = f"{self.name} read {len(self.records)}"
                 record = RequestRecord(number, self.name, self.PATIENCE_S, time.monotonic())
--- a/plumline/lab/soak/judge.py
+++ b/plumline/lab/soak/judge.py
@@ -19,11 +19,11 @@
     patience_s: float  # until client or route give up
     first_sent: float
     last_sent: float = 0.0  # its last byte
-    ended: float = 0.0  # its answer was complete, or its connection over
+    completed_at: float = 0.0  # its answer was complete, or its connection over
     status: int = 0
     complete: bool = False
     gave_up: bool = False  # the client left
-    on_kept: bool = False  # not the first request of its connection
+    on_reused: bool = False  # not the first request of its connection
 
 
 @dataclass(slots=True)
@@ -31,7 +31,7 @@
     """From SIGTERM to the process's end. Times are steady s."""
 
     terminated_at: float
-    ended_at: float = float("inf")
+    exited_at: float = float("inf")
 
 
 @dataclass(slots=True)
@@ -52,36 +52,37 @@
 
 def is_lost(record: RequestRecord, evidence: Evidence) -> bool:
     """Whether a process read the request whole and its connection ended early, with no excuse for it."""
-    if record.complete or record.gave_up or not record.last_sent or not record.ended:
+    if record.complete or record.gave_up or not record.last_sent or not record.completed_at:
         return False
-    if record.ended >= record.first_sent + record.patience_s - CLOCK_SLACK_S:
+    if record.completed_at >= record.first_sent + record.patience_s - CLOCK_SLACK_S:
         return False
     if record.id not in evidence.arrived:
         # It crossed the close of its connection, unless that came well after it.
-        return record.ended - record.last_sent > evidence.loss_slack_s + evidence.lag_s
+        return record.completed_at - record.last_sent > evidence.loss_slack_s + evidence.lag_s
     shutdown = shutdown_of(record, evidence)
     if shutdown is None:
         return True
     last_share_begins = shutdown.terminated_at + evidence.grace_s * (1 - LAST_SHARE)
     sent_in_time = record.first_sent <= shutdown.terminated_at + LATE_REQUEST_S
-    return not (sent_in_time and record.ended >= last_share_begins)
+    return not (sent_in_time and record.completed_at >= last_share_begins)
 
 
 def shutdown_of(record: RequestRecord, evidence: Evidence) -> Shutdown | None:
     """The shutdown of its process in which the connection ended."""
     for each in evidence.shutdowns.get(record.target, []):
-        if each.terminated_at <= record.ended <= each.ended_at + evidence.lag_s + CLOCK_SLACK_S:
+        if each.terminated_at <= record.completed_at <= each.exited_at + evidence.lag_s + CLOCK_SLACK_S:
             return each
     return None
 
 
 def _describe(record: RequestRecord, evidence: Evidence) -> str:
     shutdown = shutdown_of(record, evidence)
-    began = shutdown.terminated_at if shutdown else record.first_sent
-    since = "SIGTERM" if shutdown else "it was sent"
+    origin_at = shutdown.terminated_at if shutdown else record.first_sent
+    origin = "SIGTERM" if shutdown else "it was sent"
     return (
-        f"{record.target}: sent {record.first_sent - began:.3f} s, whole {record.last_sent - began:.3f} s, "
-        f"cut {record.ended - began:.3f} s after {since}, status {record.status}, "
-        f"{'kept' if record.on_kept else 'new'} connection, "
+        f"{record.target}: sent {record.first_sent - origin_at:.3f} s, "
+        f"whole {record.last_sent - origin_at:.3f} s, "
+        f"cut {record.completed_at - origin_at:.3f} s after {origin}, status {record.status}, "
+        f"{'reused' if record.on_reused else 'new'} connection, "
         f"{'reached' if record.id in evidence.arrived else 'never reached'} an endpoint"
     )
--- a/plumline/lab/soak/runner.py
+++ b/plumline/lab/soak/runner.py
@@ -29,7 +29,7 @@
 )
 from plumline.lab.operator import Operator
 from plumline.lab.platform import Platform
-from plumline.lab.soak.clients import Front, KeptClient, KeptOperator
+from plumline.lab.soak.clients import Front, PersistentClient, PersistentOperator
 from plumline.lab.soak.judge import Evidence, Shutdown, judge_lost
 from plumline.lab.soak.plan import Action, Step, draw_plan
 
@@ -88,8 +88,8 @@
 class Supervisor:
     """One process that is started again whenever it ends, as the platform does."""
 
-    def __init__(self, process: Process, settings: dict[str, Any], chance: random.Random) -> None:
-        self.process, self.settings, self.chance = process, settings, chance
+    def __init__(self, process: Process, settings: dict[str, Any], rng: random.Random) -> None:
+        self.process, self.settings, self.rng = process, settings, rng
         self.shutdowns: list[Shutdown] = []
         self.breaches: list[Breach] = []
         self.draining = False
@@ -129,7 +129,7 @@
 
     async def _restart(self, shutdown: Shutdown) -> None:
         await self._wait_for_end(shutdown)
-        await asyncio.sleep(self.chance.uniform(*RESTART_S))
+        await asyncio.sleep(self.rng.uniform(*RESTART_S))
         await self.start()
 
     async def _wait_for_end(self, shutdown: Shutdown) -> None:
@@ -140,7 +140,7 @@
         except TimeoutError:
             child.kill()
             status = await child.wait()
-        shutdown.ended_at = time.monotonic()
+        shutdown.exited_at = time.monotonic()
         if status == 0 or (status == TERMINATED and not self.has_started()):
             return
         why = "it had not ended when the grace period was over" if status == KILLED else f"exit {status}"
@@ -165,7 +165,7 @@
 
     def __init__(self, seed: int, size: SoakSize, directory: Path) -> None:
         self.size, self.directory = size, directory
-        self.chance = random.Random(seed)
+        self.rng = random.Random(seed)
         self.result = SoakResult(seed, size)
         self.machines = machines_for(size.routers, size.registrars)
         self.ports = Ports.free(each.host for each in self.machines)
@@ -174,7 +174,7 @@
         self.retired: list[Engine] = []
         self.changes: asyncio.Queue[None] = asyncio.Queue()
         self.document: dict[str, Any] = {}
-        self.slots = self.chance.choice(SLOTS)
+        self.slots = self.rng.choice(SLOTS)
 
     async def run(self) -> SoakResult:
         """Errors: NotStartedError, UnavailableError."""
@@ -196,9 +196,7 @@
             settings = settings_for(
                 machine, self.machines, self.ports, platform.server.address, self.directory
             )
-            self.supervisors[machine.name] = Supervisor(
-                Process(machine, self.directory), settings, self.chance
-            )
+            self.supervisors[machine.name] = Supervisor(Process(machine, self.directory), settings, self.rng)
         await asyncio.gather(*(each.start() for each in self.supervisors.values()))
         verdict = await self._operator().replace(self.document, 0)
         if not verdict.taken:
@@ -221,12 +219,14 @@
         }
         front = Front(addresses)
         clients = [
-            KeptClient(front, random.Random(self.chance.random()), ROUTE_TIMEOUT_S)
+            PersistentClient(front, random.Random(self.rng.random()), ROUTE_TIMEOUT_S)
             for _ in range(self.size.clients)
         ]
-        operators = [KeptOperator(each.name, f"{each.host}:{self.ports.control}") for each in registrars]
+        operators = [
+            PersistentOperator(each.name, f"{each.host}:{self.ports.control}") for each in registrars
+        ]
         plan = draw_plan(
-            self.chance,
+            self.rng,
             [each.name for each in routers],
             [each.name for each in registrars],
             self.size.seconds,
--- a/plumline/process_signals.py
+++ b/plumline/process_signals.py
@@ -19,7 +19,7 @@
     loop.add_signal_handler(signal.SIGHUP, on_reload)
 
 
-def hold_signals() -> None:
+def block_signals() -> None:
     """For a process that has done its last work: signals stay pending from now on, in child processes too.
 
     The event loop takes the handlers away as it closes, and the default action would then end the process
@@ -29,9 +29,9 @@
 
 
 async def run_to_end(work: Coroutine[Any, Any, None]) -> None:
-    """Does the last work of this process, and holds its signals before the event loop closes."""
+    """Does the last work of this process, and blocks its signals before the event loop closes."""
     await work
-    hold_signals()
+    block_signals()
 
 
 async def finish_unless(
--- a/plumline/router/lifecycle.py
+++ b/plumline/router/lifecycle.py
@@ -90,7 +90,7 @@
             "seconds": round(self.loop.time() - drain.began_at, 3),
             "unanswered": self.unanswered,
             "requests_on_new": drain.on_new_connections,
-            "requests_on_kept": drain.on_kept_connections,
+            "requests_on_earlier": drain.on_earlier_connections,
             "latest_request_s": round(drain.latest_request_s, 3),
             "slowest_request_s": round(drain.slowest_request_s, 3),
         }
--- a/plumline/wire/server.py
+++ b/plumline/wire/server.py
@@ -250,7 +250,7 @@
         self.head = self.chunks = None
         self.phase = Phase.ANSWER
         if self.server.drain is not None:
-            self.server.drain.note_request(self.loop.time(), self.opened_at, self.began)
+            self.server.drain.record_request(self.loop.time(), self.opened_at, self.began)
         try:
             self.server.handler(exchange)
         except Exception:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -54,7 +54,7 @@
 def cut(sent_s: float, ended_s: float, patience_s: float = 10.0) -> RequestRecord:
     """Times in s after SIGTERM."""
     sent = TERMINATED + sent_s
-    return RequestRecord("r", "edge-1", patience_s, sent, last_sent=sent, ended=TERMINATED + ended_s)
+    return RequestRecord("r", "edge-1", patience_s, sent, last_sent=sent, completed_at=TERMINATED + ended_s)
 
 
 @pytest.mark.parametrize(
