Connect to a peer that opens a link without waiting for the backoff

Cause: after a loss of power registrars begin to listen one after the other. The first found the others' ports closed and waited 0.15 to 0.35 s, though their own links said that they listen by now; a ping needs both ways. Change: a registrar's hello on an incoming link ends the backoff of the link to it.

--- a/plumline/wire/mesh.py
+++ b/plumline/wire/mesh.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 from typing import Any, Protocol
 
@@ -57,6 +58,7 @@
         self._client_handler: ClientHandler
         self._peers: set[str] = set()  # addresses to have links to
         self._link_tasks: dict[str, asyncio.Task[None]] = {}  # by address
+        self._peer_heard: dict[str, asyncio.Event] = {}  # set when a peer without a link opens one to here
         self._incoming: set[FrameLink] = set()
         self._server: asyncio.Server | None = None
 
@@ -80,6 +82,8 @@
         self._incoming.add(link)
         if link.peer["role"] != REGISTRAR_ROLE:
             self._client_handler.on_connected(link)
+        elif event := self._peer_heard.get(link.peer["address"]):
+            event.set()  # it listens by now, so the backoff of the link to it is over
 
     def _on_message(self, link: FrameLink, message: list[Any]) -> None:
         assert link.peer is not None
@@ -106,15 +110,20 @@
 
     async def _keep_linked(self, address: str) -> None:
         """Opens the link again whenever it is down, for as long as the address is a peer's."""
+        peer_heard = self._peer_heard.setdefault(address, asyncio.Event())
         try:
             while address in self._peers:
+                peer_heard.clear()
                 try:
                     await self._run_link(address)
                 except (OSError, TimeoutError):
                     self.counters.add("links.not-up")
-                await asyncio.sleep(RECONNECT_BACKOFF_S * random.uniform(*BACKOFF_JITTER))
+                backoff_s = RECONNECT_BACKOFF_S * random.uniform(*BACKOFF_JITTER)
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(peer_heard.wait(), backoff_s)
         finally:
             self._link_tasks.pop(address, None)
+            self._peer_heard.pop(address, None)
 
     async def _run_link(self, address: str) -> None:
         """Opens a link and returns once it is down. Raises OSError, TimeoutError where it doesn't come up."""
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -72,3 +72,33 @@
     assert len(silent) == 2
     mesh.close()
     server.close()
+
+
+@patch.object(mesh_module, "RECONNECT_BACKOFF_S", 60.0)
+@play
+async def test_a_peer_that_opens_a_link_is_connected_to_without_waiting_for_the_backoff(_: Path) -> None:
+    """As after a loss of power, where the machines begin to listen one after the other."""
+    loop = asyncio.get_running_loop()
+    up: asyncio.Future[str] = loop.create_future()
+    mesh = mesh_of(up)
+    await mesh.listen(("127.0.0.1", 0))
+    assert mesh._server is not None
+    own_port = mesh._server.sockets[0].getsockname()[1]
+    reserved = await loop.create_server(asyncio.Protocol, "127.0.0.1", 0)
+    port = reserved.sockets[0].getsockname()[1]
+    reserved.close()
+    await reserved.wait_closed()
+    address = f"127.0.0.1:{port}"
+    greeting = hello("two", "registrar", address, "zone")
+
+    def link() -> FrameLink:
+        return FrameLink(greeting, lambda _: None, lambda *_: None, lambda _: None, Counters())
+
+    mesh.set_peers({address})
+    while not mesh.counters.get("links.not-up"):
+        await asyncio.sleep(0)
+    server = await loop.create_server(link, "127.0.0.1", port)
+    await loop.create_connection(link, "127.0.0.1", own_port)
+    assert await soon(up) == address
+    mesh.close()
+    server.close()
