Publish to routers at once when a registrar becomes current

Cause: after a start each step waited for its interval: the first ping on a new link (0.15 s), the heartbeat after a registrar became current (0.4 s), and the heartbeat to a router that has just subscribed (0.4 s). Change: a link that comes up lets the next step ping; becoming current lets the heartbeat go; a router gets the heartbeat with its first subscription.

--- a/plumline/coordination/failure_detector.py
+++ b/plumline/coordination/failure_detector.py
@@ -81,6 +81,10 @@
         for address in self.peers:
             self.environment.send(address, [PING_KIND, self._nonce, *report])
 
+    def ping_soon(self) -> None:
+        """Lets the next step ping: a link has come up, and a start should not wait for the interval."""
+        self._next_ping_at = 0.0
+
     def on_message(self, now: float, sender: str, message: Message) -> bool:
         """Whether the message was a ping or an echo, and is dealt with."""
         match message:
--- a/plumline/registrar/message_handlers.py
+++ b/plumline/registrar/message_handlers.py
@@ -48,6 +48,7 @@
         own_zone = self.zones[self.mesh.local_address]
         self.mesh.links[address].send(ZoneAnnouncement(own_zone).to_wire())
         self.replicator.send_all_to(address)
+        self.core.failure_detector.ping_soon()
 
     def on_message(self, sender: str, message: Message) -> None:
         """Dispatches a message by its kind; one that is unknown or malformed is counted and dropped."""
--- a/plumline/registrar/process.py
+++ b/plumline/registrar/process.py
@@ -68,6 +68,10 @@
         self._due_at = now + self.interval_s
         return True
 
+    def expire(self) -> None:
+        """Makes the action due at the next look."""
+        self._due_at = 0.0
+
 
 class RegistrarProcess:
     """One registrar, from its start to its end."""
@@ -151,11 +155,16 @@
     async def _step_forever(self) -> None:
         """Steps the core, and publishes and reports what is due."""
         heartbeat_timer = PeriodicTimer(HEARTBEAT_INTERVAL_S)
+        was_current = False
         report_timer = PeriodicTimer(REPORT_INTERVAL_S)
         counters_timer = PeriodicTimer(COUNTERS_LOG_INTERVAL_S)
         while True:
             now = self.loop.time()
             self._step(now)
+            is_current = self.core.is_up_to_date(now)
+            if is_current and not was_current:
+                heartbeat_timer.expire()  # routers that start wait for nothing else
+            was_current = is_current
             if heartbeat_timer.is_due(now):
                 self._renew_dead_links(now)
                 self._publish_heartbeat(now)
--- a/plumline/registrar/publisher.py
+++ b/plumline/registrar/publisher.py
@@ -61,6 +61,7 @@
         self.subscribers: dict[FrameLink, Subscriber] = {}
         self.highest_subscriber_index = 0  # that a subscriber has had from any registrar
         self.buffer = PublishBuffer(lambda: (chain.committed_index, chain.state))
+        self._last_heartbeat: PublisherHeartbeat | None = None
         self._last_configuration: tuple[int, Document | None] = (-1, None)  # after the entry of that number
 
     # Connections.
@@ -111,10 +112,21 @@
         self.highest_subscriber_index = max(self.highest_subscriber_index, index)
         if subscriber.sent_index >= 0 and subscriber.link.busy and subscriber.is_primary:
             return  # what it asks for is on its way
+        is_first = subscriber.sent_index < 0
         subscriber.sent_index = index
+        if is_first:
+            self._send_first_heartbeat(subscriber)
         self._send_soft_state(subscriber)
         self._catch_up(subscriber)
 
+    def _send_first_heartbeat(self, subscriber: Subscriber) -> None:
+        """Spares a router that starts the wait for the next one: it chooses its primary by it."""
+        if self._last_heartbeat is not None and self.is_current():
+            heartbeat = self._last_heartbeat._replace(
+                is_current=True, committed_index=self.chain.committed_index
+            )
+            subscriber.link.send(heartbeat.to_wire())
+
     def _send_soft_state(self, subscriber: Subscriber) -> None:
         """All of it, once, and not while this registrar may have old values only."""
         if subscriber.sent_index < 0 or subscriber.has_soft_state or not self.is_current():
@@ -175,6 +187,7 @@
             max(len(routers), 1),
             total_loads(routers.values()),
         )
+        self._last_heartbeat = heartbeat
         self.broadcast(heartbeat.to_wire())
         self._catch_up_all()
 
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -254,9 +254,30 @@
     assert topics_in(link) == ["roster"]
 
 
+def decoded(link: FakeLink) -> list[list[Any]]:
+    """The messages that were sent."""
+    return [FrameDecoder().feed(each)[0] if each[0] == 0 else ormsgpack.unpackb(each) for each in link.frames]
+
+
 def topics_in(link: FakeLink) -> list[str]:
     """The names of the topics that were sent."""
-    messages = [
-        FrameDecoder().feed(each)[0] if each[0] == 0 else ormsgpack.unpackb(each) for each in link.frames
-    ]
-    return [message[1] for message in messages if message[0] == "topic"]
+    return [message[1] for message in decoded(link) if message[0] == "topic"]
+
+
+def kinds_in(link: FakeLink) -> list[str]:
+    """The kinds of the messages that were sent."""
+    return [message[0] for message in decoded(link)]
+
+
+def test_a_router_that_subscribes_gets_the_heartbeat_at_once_if_the_registrar_is_current() -> None:
+    """It chooses its primary by it: a router that starts need not wait for the next one."""
+    scene = Scene(routers=0)
+    assert kinds_in(scene.join("too-early").link) == []
+    scene.publisher.publish_heartbeat(False, [["a:1", "zone"]], {})
+    scene.commit(["replace", 0, document(1, 3)])
+    link = scene.join("n", primary=False).link
+    assert decoded(link)[0][:4] == ["beat", True, 1, [["a:1", "zone"]]]
+    scene.say(link, ["follow", 0])
+    assert kinds_in(link) == ["beat"]
+    scene.is_current = False
+    assert kinds_in(scene.join("partitioned").link) == []
