--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -28,6 +28,7 @@
 )
 from plumline.routing.endpoint_load import Load
 from plumline.routing.endpoint_scoring import READ_RATE, Candidate, expected_ms
+from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.outcomes import Call
 
 SHUNNED = 1.0  # s without sends to an endpoint whose weights turned out to be others than known
@@ -196,7 +197,8 @@
         if exchange.body or value_of(exchange.headers, b"content-length") is not None:
             headers.append((b"content-length", b"%d" % len(exchange.body)))
         if prompt.model:
-            headers.append((b"priority", b"%d" % request.priority))
+            if MECHANISMS.priorities:
+                headers.append((b"priority", b"%d" % request.priority))
             if self.salt is None:  # of unknown weights: shared with nobody
                 headers.append((b"cache-salt", b"x%032x" % self.router.chance.getrandbits(128)))
             else:
@@ -205,9 +207,9 @@
                 store = self.router.store_for(prompt.parts) if prompt.parts else None
                 # A short request's parts are read faster than they wait for the store's link.
                 address = store.cache_store_address if store and prompt.long else None
-                if source := self.candidate.source or address:
+                if (source := self.candidate.source or address) and MECHANISMS.prefix_fetch:
                     headers.append((b"kv-fetch", address_text(source).encode()))
-                if address and self.worth_saving(address_text(address)):
+                if address and MECHANISMS.store_saves and self.worth_saving(address_text(address)):
                     self.saves = address_text(address)
                     headers.append((b"kv-save", self.saves.encode()))
         return headers
--- a/plumline/router/progress.py
+++ b/plumline/router/progress.py
@@ -6,6 +6,7 @@
 from plumline.configuration.entities import Route
 from plumline.router.relay import EventJoiner
 from plumline.router.upstream import UpstreamConnection
+from plumline.routing.mechanisms import MECHANISMS
 
 MAX_FAILED_CONNECTS = 3  # connections that may fail under one request
 RESPONSE_MARGIN_S = 0.02  # s of a request's time that the way back may take
@@ -39,6 +40,8 @@
 
     def may_send(self, route: Route) -> bool:
         """Whether one more send is allowed, by its route and by what the sends before it proved."""
+        if self.attempts and not MECHANISMS.second_attempts:
+            return False
         if self.attempts >= route.attempt_limit or self.failed_connects >= MAX_FAILED_CONNECTS:
             return False
         if self.response_started and not (self.joiner and self.joiner.may_join()):
--- a/plumline/router/request_handler.py
+++ b/plumline/router/request_handler.py
@@ -9,6 +9,7 @@
 from plumline.router.relay import Headers, value_of
 from plumline.router.router_state import RouterState
 from plumline.router.selection import Selection
+from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.reserved_quota import CALM
 from plumline.wire.exchange import Exchange
 
@@ -101,8 +102,14 @@
                 break
             picked, wait = selection.pick(now)
             if picked is None:
-                if held or wait > min(
-                    route.latency_target_ms / 1000 * MAX_HOLD_SHARE, request.until - now - RESPONSE_MARGIN_S
+                if (
+                    held
+                    or not MECHANISMS.holding
+                    or wait
+                    > min(
+                        route.latency_target_ms / 1000 * MAX_HOLD_SHARE,
+                        request.until - now - RESPONSE_MARGIN_S,
+                    )
                 ):
                     progress.retry_after_s = wait if wait < float("inf") else progress.retry_after_s
                     break
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -11,6 +11,7 @@
 from plumline.routing.cache_salt import Salt, salt_for
 from plumline.routing.endpoint_scoring import READ_RATE, Candidate, choose, expected_ms
 from plumline.routing.fleet import Address, Endpoint
+from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.prefix_fetch import Fetch, Holder, best_fetch, may_gain
 from plumline.routing.queue_classes import AWAY_MS, SHORT_AWAY_MS
 
@@ -105,6 +106,8 @@
         prompt = self.request.prompt
         if not prompt.long or not self.service or not self.service.cache_token_capacity:
             return False
+        if not MECHANISMS.memory_limit:
+            return False
         occupied = self.router.index.occupied(endpoint.id)
         full = (
             bool(occupied) and prompt.tokens > self.service.cache_token_capacity * RESIDENT_SHARE - occupied
@@ -160,6 +163,8 @@
     def fetch_to(self, endpoint: Endpoint, salt: Salt | None, kept: int, look: Look) -> Fetch | None:
         """The best move of shared parts to the endpoint; None where none is faster than to read them."""
         service = self.service
+        if not MECHANISMS.prefix_fetch:
+            return None
         if salt is None or service is None or not may_gain(self.shared_tokens - kept, READ_RATE):
             return None
         return best_fetch(
@@ -235,7 +240,7 @@
     def is_too_late(self, best: Candidate, now: float) -> bool:
         """Whether a long prompt would be given up before its first piece: its reading is spared, and it may
         come back."""
-        if not self.request.prompt.long:
+        if not self.request.prompt.long or not MECHANISMS.shedding:
             return False
         late_ms = expected_ms(best) - self.patience_ms(now)
         if late_ms <= 0:
--- a/plumline/router/subscriber.py
+++ b/plumline/router/subscriber.py
@@ -24,6 +24,7 @@
 from plumline.errors import FrameError, PlumlineError
 from plumline.router.feed_source import FeedLag, FeedSource
 from plumline.routing.fleet import Fleet
+from plumline.routing.mechanisms import MECHANISMS
 from plumline.settings import Settings, SettingsFile
 from plumline.wire.frame_link import FrameLink
 from plumline.wire.frames import hello
@@ -193,6 +194,8 @@
 
     def _send_prompt_events(self) -> None:
         events, self._unsent_prompt_events = self._unsent_prompt_events, []
+        if not MECHANISMS.prompt_events:
+            return
         if self.primary is not None and self.primary.link is not None:
             self.primary.link.send(["news", self.settings.node_name, events])
 
--- a/plumline/routing/endpoint_load.py
+++ b/plumline/routing/endpoint_load.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from plumline.prefix_cache.blocks import PrefixBlock, leading_tokens
+from plumline.routing.mechanisms import MECHANISMS
 
 PARTS_KEPT = 20_000  # (salt, part) pairs remembered
 PLACES_KEPT = 8  # endpoints remembered for one part
@@ -25,7 +26,7 @@
 
     def excess(self, now: float) -> float:
         """What is left by now of the excess seen, in ms."""
-        if not self.excess_ms:
+        if not self.excess_ms or not MECHANISMS.observed_excess:
             return 0.0
         return self.excess_ms * math.exp(-max(now - self.seen_at, 0.0) / EXCESS_AGE)
 
--- a/plumline/routing/endpoint_scoring.py
+++ b/plumline/routing/endpoint_scoring.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from plumline.routing.fleet import Address
+from plumline.routing.mechanisms import MECHANISMS
 
 READ_RATE = 61.2  # prompt tokens that an endpoint reads in a ms
 STEP_MS = 3.4  # of one decoding step: what each running request may delay another's piece by, at the most
@@ -53,7 +54,7 @@
     """In ms, with the small costs that only decide between like ones."""
     away = ANOTHER_ZONE_MS * (not candidate.same_zone)
     new = NEW_CONNECTION_MS * (not candidate.connected)
-    again = candidate.again * AGAIN_MS
+    again = candidate.again * AGAIN_MS * MECHANISMS.reread_cost
     return expected_ms(candidate, read_rate) + candidate.astray_ms + again + away + new
 
 
@@ -66,6 +67,8 @@
     costs = [cost(each, read_rate) for each in candidates]
     least = min(costs)
     near = [index for index, each in enumerate(costs) if each <= least + CLOSE_MS]
+    if not MECHANISMS.choice_of_two:
+        near = [costs.index(least)]
     if len(near) > 2:
         near = chance.sample(near, 2)
     return candidates[min(near, key=lambda index: (costs[index], chance.random()))]
--- a/plumline/routing/outcomes.py
+++ b/plumline/routing/outcomes.py
@@ -10,6 +10,7 @@
 
 from plumline.breaker.breaker import ERROR_WEIGHT, FAILURE_THRESHOLD, Breaker
 from plumline.breaker.plain import PlainSettings
+from plumline.routing.mechanisms import MECHANISMS
 
 IDLE_AGE = 60.0  # s after which what nobody lists or uses is forgotten
 LEAST_AIM = 300_000  # us: the first guess of how long a call may take
@@ -60,7 +61,7 @@
     def ready_in(self, key: str, now: float) -> float:
         """Seconds until the next call may go; infinite while a trial's result decides it."""
         breaker = self.breakers.get(key)
-        if breaker is None:
+        if breaker is None or not MECHANISMS.breaker:
             return 0.0
         at = breaker.ready_at(micros(now))
         return at if math.isinf(at) else max(at / 1e6 - now, 0.0)
--- a/plumline/routing/queue_classes.py
+++ b/plumline/routing/queue_classes.py
@@ -15,6 +15,7 @@
 
 from plumline.coordination.rendezvous import weight
 from plumline.prefix_cache.blocks import PrefixBlock
+from plumline.routing.mechanisms import MECHANISMS
 
 LONG_SHARE = 1 / 8  # of the service's shortest aim: a prompt that takes longer to read is a long one
 TOKEN_MS = 0.2  # of an endpoint's time that one token put out takes in a batch
@@ -78,7 +79,7 @@
     def split(self) -> int:
         """How many of `order` make the long lane: what the short requests leave, at least one for each."""
         count, (short, long) = len(self.order), self.fleet
-        if not short or not long or count < 2:
+        if not short or not long or count < 2 or not MECHANISMS.queue_classes:
             return count
         needed = math.ceil(short / 1000 / SHORT_USE)
         return count - min(max(needed, 1), count - 1)
@@ -98,7 +99,7 @@
         shared."""
         split = self.split()
         lane = self.order[:split] if long or split == len(self.order) else self.order[split:]
-        if len(parts) < 2 or not lane:
+        if len(parts) < 2 or not lane or not MECHANISMS.prefix_homes:
             return None
         key = parts[-2][0]
         return max(lane, key=lambda each: weight(key, each))
