--- a/plumline/prefix_cache/index.py
+++ b/plumline/prefix_cache/index.py
@@ -38,6 +38,7 @@
     missing: float
     saves: str  # address of the store that it is saved to; empty: to none
     at: float
+    waited: bool = False  # another prompt was still to be read there when it was placed
 
 
 @dataclass(slots=True)
@@ -118,9 +119,16 @@
 class PrefixCacheIndex:
     """Where long prompts are being read and kept, by all that routers and stores tell."""
 
-    def __init__(self, capacity_of: Callable[[str], float]) -> None:
-        """`capacity_of(endpoint id)`: tokens of its memory; 0 where that is not known."""
-        self.capacity_of = capacity_of
+    def __init__(
+        self,
+        capacity_of: Callable[[str], float],
+        on_reading: Callable[[str, float, float], None] = lambda endpoint, tokens, ms: None,
+    ) -> None:
+        """`capacity_of(endpoint id)`: tokens of its memory; 0 where that is not known.
+
+        `on_reading(endpoint id, tokens, ms)` is called for each prompt that found no other to be read at its
+        endpoint: tokens that it did not keep there, and the time until its first piece."""
+        self.capacity_of, self.on_reading = capacity_of, on_reading
         self.placements: dict[Serial, Placement] = {}  # being read, oldest first
         self.unread: dict[str, float] = {}  # endpoint -> tokens of those
         self.keeps: dict[str, Keep] = {}
@@ -136,15 +144,18 @@
         self.done(serial)
         self.placements[serial] = self.streams[serial] = placement
         key = placement.endpoint
+        placement.waited = key in self.unread
         self.unread[key] = self.unread.get(key, 0.0) + placement.missing
         self.resident[key] = self.resident.get(key, 0.0) + size_of(placement.parts)
         if placement.saves:
             self.store(placement.saves).sent(placement.at, placement.salt, placement.parts)
 
-    def read(self, serial: Serial) -> None:
+    def read(self, serial: Serial, now: float) -> None:
         """Its first piece has come: the endpoint keeps all its parts now."""
         if (placement := self.ended(serial)) is None:
             return
+        if not placement.waited:
+            self.on_reading(placement.endpoint, placement.missing, (now - placement.at) * 1000)
         keep = self.keeps.get(placement.endpoint)
         if keep is None:
             capacity = self.capacity_of(placement.endpoint) or math.inf
--- a/plumline/router/admission.py
+++ b/plumline/router/admission.py
@@ -7,7 +7,6 @@
 from plumline.prefix_cache.blocks import PrefixBlock, output_tokens, parse_parts, prompt_tokens, size_of
 from plumline.router.relay import Headers, request_headers, value_of
 from plumline.router.router_state import RouterState
-from plumline.routing.endpoint_scoring import READ_RATE
 from plumline.routing.queue_classes import TOKEN_MS, is_long
 from plumline.routing.reserved_quota import Standing, priority
 from plumline.wire.exchange import Exchange
@@ -15,6 +14,9 @@
 
 UNCONFIGURED_RETRY_AFTER_S = 0.3  # where no configuration is here yet, or it may be an old one
 DRAINING_RETRY_AFTER_S = 0.0  # where this router is about to end: any other one can serve it at once
+#: Tokens of shared parts from which on it pays that routers tell one another of a prompt. Smaller ones are
+#: read again for less than the messages and moves cost.
+TRACKED_TOKENS = 2048
 MAX_PRIORITY_RANK = 4  # ranks from here on count alike: an endpoint knows ten, two for each
 
 
@@ -98,10 +100,10 @@
     now, fleet = router.clock(), router.fleet
     service = route.choose_service(router.chance)
     router.budget.record_request(now, service)
-    prompt = read_prompt(
-        exchange.headers, router.shortest_latency_targets.get(service, route.latency_target_ms)
-    )
-    ms = prompt.tokens / READ_RATE, prompt.work_ms
+    read_rate = router.read_rates_of(service).typical()
+    shortest_target_ms = router.shortest_latency_targets.get(service, route.latency_target_ms)
+    prompt = read_prompt(exchange.headers, shortest_target_ms, read_rate)
+    ms = prompt.tokens / read_rate, prompt.work_ms
     standing = router.shares.ask(now, service, owner_of(tenant), ms, fleet.routers)
     if standing.refused:
         return Denial(429, "over-share", standing.wait)
@@ -164,13 +166,15 @@
     return float("inf") if ms is None else ms
 
 
-def read_prompt(headers: Headers, latency_target_ms: float) -> Prompt:
-    """The prompt as the headers tell it. `latency_target_ms`: the shortest one of the
-    service's routes."""
+def read_prompt(headers: Headers, latency_target_ms: float, read_rate: float) -> Prompt:
+    """The prompt as the headers tell it. `latency_target_ms`: the shortest one of the service's routes;
+    `read_rate`: tokens a ms that the service's endpoints read."""
     model = (value_of(headers, b"model-name") or b"").decode("latin-1")
     prefix = value_of(headers, b"prompt-prefix")
     parts = parse_parts(prefix.decode("latin-1")) if model and prefix else []
     counts = (value_of(headers, b"token-counts") or b"").decode("latin-1")
     tokens = max(prompt_tokens(counts), size_of(parts))
-    long = is_long(tokens / READ_RATE, latency_target_ms)
+    # One whose shared parts are worth tracking is dealt with as a long one, however fast it is read.
+    is_tracked = size_of(parts[:-1]) >= TRACKED_TOKENS
+    long = is_tracked or is_long(tokens / read_rate, latency_target_ms)
     return Prompt(model, parts, tokens, output_tokens(counts) * TOKEN_MS, long)
--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -27,7 +27,7 @@
     idle_time,
 )
 from plumline.routing.endpoint_load import Load
-from plumline.routing.endpoint_scoring import READ_RATE, Candidate, expected_ms
+from plumline.routing.endpoint_scoring import Candidate, expected_ms
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.outcomes import Call
 
@@ -45,7 +45,7 @@
     if not prompt.long:
         load.unread += picked.candidate.missing
     read_ms = expected_ms(reading_of(picked.candidate))
-    router.shares.sent(request.service, request.owner, prompt.tokens / READ_RATE, read_ms)
+    router.shares.sent(request.service, request.owner, prompt.tokens / picked.candidate.read_rate, read_ms)
     if lanes := router.lanes.get(request.service):
         lanes.work.add(router.clock(), read_ms + prompt.work_ms, prompt.long)
     send = Send(selection, picked, load, call)
@@ -86,7 +86,7 @@
         self.unread = 0.0
         if self.number and self.wrote and not self.told:
             self.told = True
-            self.router.index.read((self.router.node, self.number))
+            self.router.index.read((self.router.node, self.number), self.router.clock())
             self.router.tell(["read", self.number])
 
     def finished(self) -> None:
--- a/plumline/router/router_state.py
+++ b/plumline/router/router_state.py
@@ -24,6 +24,7 @@
 from plumline.routing.fleet_state import StoreStatus
 from plumline.routing.outcomes import Outcomes, store_key
 from plumline.routing.queue_classes import QueueClasses
+from plumline.routing.read_rates import ServiceReadRates
 from plumline.routing.reserved_quota import Shares
 from plumline.settings import Settings
 
@@ -84,7 +85,8 @@
         self.pool = Pool(CONNECT_TIMEOUT)
         self.drain: DrainDeadlines | None = None  # while the process shuts down
         self.affinity = Affinity()
-        self.index = PrefixCacheIndex(self.memory_of)
+        self.read_rates: dict[str, ServiceReadRates] = {}  # by service
+        self.index = PrefixCacheIndex(self.memory_of, self.observe_reading)
         self.serials = itertools.count(1)
         #: Tells the other routers of a prompt placed, read or ended; the process sets it.
         self.tell: Callable[[list[Any]], None] = lambda _: None
@@ -152,6 +154,18 @@
             counts[service] = len(usable)
         self.shares.set_endpoints(counts)
         self.lanes = {name: each for name, each in self.lanes.items() if name in self.by_service}
+        for service, endpoints in self.by_service.items():
+            self.read_rates_of(service).retain(each.id for each in endpoints)
+        self.read_rates = {name: each for name, each in self.read_rates.items() if name in self.by_service}
+
+    def read_rates_of(self, service: str) -> ServiceReadRates:
+        """How fast the service's endpoints read prompts."""
+        return self.read_rates.get(service) or self.read_rates.setdefault(service, ServiceReadRates())
+
+    def observe_reading(self, endpoint: str, tokens: float, ms: float) -> None:
+        """A prompt that found no other to be read at the endpoint had its first piece after this time."""
+        if listed := self.fleet.endpoints.get(endpoint):
+            self.read_rates_of(listed.service).observe(endpoint, tokens, ms)
 
     def work_rates(self) -> dict[str, list[Any]]:
         """This router's work by service, for its heartbeats: [short, long] in ms a second, and what tenants
@@ -206,7 +220,7 @@
                         )
                         self.index.placed((node, placed.number), placement)
                 case Read(number):
-                    self.index.read((node, number))
+                    self.index.read((node, number), now)
                 case Done(number):
                     self.index.done((node, number))
                 case Stored(epoch, changes):
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -9,7 +9,7 @@
 from plumline.router.progress import RETRY_AFTER_RANGE_S, Progress
 from plumline.router.router_state import RouterState, address_text
 from plumline.routing.cache_salt import Salt, salt_for
-from plumline.routing.endpoint_scoring import READ_RATE, Candidate, choose, expected_ms
+from plumline.routing.endpoint_scoring import Candidate, choose, expected_ms
 from plumline.routing.fleet import Address, Endpoint
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.prefix_fetch import Fetch, Holder, best_fetch, may_gain
@@ -134,8 +134,9 @@
         """The endpoint as this request sees it, but for the lanes."""
         router, prompt = self.router, self.request.prompt
         load = router.load(endpoint.id)
+        read_rate = router.read_rates_of(self.request.service).of(endpoint.id)
         kept = self.kept_at(endpoint, salt, look.now)
-        fetch = self.fetch_to(endpoint, salt, kept, look)
+        fetch = self.fetch_to(endpoint, salt, kept, read_rate, look)
         return Candidate(
             id=endpoint.id,
             unread=load.unread + router.index.backlog(endpoint.id),
@@ -147,6 +148,7 @@
             excess_ms=load.excess(look.now),
             same_zone=endpoint.zone == router.zone,
             connected=router.pool.has_idle(endpoint.id, look.now),
+            read_rate=read_rate,
             source=fetch.source if fetch else None,
             again=self.read_again(salt, kept + (fetch.tokens if fetch else 0)),
         )
@@ -160,12 +162,14 @@
             return router.index.coming(endpoint.id, salt.text, prompt.parts)
         return router.affinity.kept(salt.text, prompt.parts, endpoint.id, now)
 
-    def fetch_to(self, endpoint: Endpoint, salt: Salt | None, kept: int, look: Look) -> Fetch | None:
+    def fetch_to(
+        self, endpoint: Endpoint, salt: Salt | None, kept: int, read_rate: float, look: Look
+    ) -> Fetch | None:
         """The best move of shared parts to the endpoint; None where none is faster than to read them."""
         service = self.service
         if not MECHANISMS.prefix_fetch:
             return None
-        if salt is None or service is None or not may_gain(self.shared_tokens - kept, READ_RATE):
+        if salt is None or service is None or not may_gain(self.shared_tokens - kept, read_rate):
             return None
         return best_fetch(
             self.holders_of(salt, service, look),
@@ -174,7 +178,7 @@
             kept,
             service.cache_token_bytes,
             service.link_speed_mbps,
-            READ_RATE,
+            read_rate,
             self.router.regions,
         )
 
--- a/plumline/routing/endpoint_scoring.py
+++ b/plumline/routing/endpoint_scoring.py
@@ -6,8 +6,8 @@
 
 from plumline.routing.fleet import Address
 from plumline.routing.mechanisms import MECHANISMS
+from plumline.routing.read_rates import START_TOKENS_PER_MS
 
-READ_RATE = 61.2  # prompt tokens that an endpoint reads in a ms
 STEP_MS = 3.4  # of one decoding step: what each running request may delay another's piece by, at the most
 FULL_MS = 150.0  # by which a request waits for each one ahead of it beyond the slots
 ANOTHER_ZONE_MS = 0.5  # tie-breaks: below what one running request costs
@@ -23,7 +23,8 @@
     `unread`: prompt tokens that this router sent there and that haven't been read; `running`: this router's
     requests there; `slots`: places; `missing`: tokens of this prompt that it doesn't keep; `movable`: those
     of them that `source` holds, `moved_ms` the time to move them; `excess_ms`: lately seen beyond that;
-    `astray_ms`: what sending it there costs others, or the expected wait behind others' requests.
+    `astray_ms`: what sending it there costs others, or the expected wait behind others' requests;
+    `read_rate`: tokens a ms that it reads.
     """
 
     id: str
@@ -38,33 +39,36 @@
     connected: bool = True
     astray_ms: float = 0.0
     again: float = 0.0  # tokens of shared parts that would be read again
+    read_rate: float = START_TOKENS_PER_MS
     source: Address | None = None  # where the movable tokens are fetched from
 
 
-def expected_ms(candidate: Candidate, read_rate: float = READ_RATE) -> float:
+def expected_ms(candidate: Candidate) -> float:
     """The expected time in ms until the first piece, without tie-breaks."""
     each = candidate
-    moved = min(each.moved_ms, each.movable / read_rate)
-    read = (each.missing - each.movable) / read_rate + moved
-    wait = each.unread / read_rate + each.running * STEP_MS + max(each.running + 1 - each.slots, 0) * FULL_MS
+    moved = min(each.moved_ms, each.movable / each.read_rate)
+    read = (each.missing - each.movable) / each.read_rate + moved
+    wait = (
+        each.unread / each.read_rate
+        + each.running * STEP_MS
+        + max(each.running + 1 - each.slots, 0) * FULL_MS
+    )
     return read + wait + each.excess_ms
 
 
-def cost(candidate: Candidate, read_rate: float = READ_RATE) -> float:
+def cost(candidate: Candidate) -> float:
     """In ms, with the small costs that only decide between like ones."""
     away = ANOTHER_ZONE_MS * (not candidate.same_zone)
     new = NEW_CONNECTION_MS * (not candidate.connected)
     again = candidate.again * AGAIN_MS * MECHANISMS.reread_cost
-    return expected_ms(candidate, read_rate) + candidate.astray_ms + again + away + new
+    return expected_ms(candidate) + candidate.astray_ms + again + away + new
 
 
-def choose(
-    candidates: Sequence[Candidate], chance: random.Random, read_rate: float = READ_RATE
-) -> Candidate | None:
+def choose(candidates: Sequence[Candidate], chance: random.Random) -> Candidate | None:
     """The one of least cost; among those within CLOSE_MS of it, the better of two taken by chance."""
     if not candidates:
         return None
-    costs = [cost(each, read_rate) for each in candidates]
+    costs = [cost(each) for each in candidates]
     least = min(costs)
     near = [index for index, each in enumerate(costs) if each <= least + CLOSE_MS]
     if not MECHANISMS.choice_of_two:
--- a/tests/test_endpoint_scoring.py
+++ b/tests/test_endpoint_scoring.py
@@ -26,7 +26,7 @@
 def test_what_the_store_holds_costs_the_move_or_the_reading_whichever_is_less() -> None:
     moved = Candidate("a", missing=6_120, movable=6_120, moved_ms=45)
     assert expected_ms(moved) == 45
-    moved.moved_ms = 1e9
+    moved.moved_ms, moved.read_rate = 1e9, 61.2
     assert math.isclose(expected_ms(moved), 100)
 
 
--- a/tests/test_prefix_cache_index.py
+++ b/tests/test_prefix_cache_index.py
@@ -35,7 +35,7 @@
     assert index.backlog("e1") == 5100
     assert index.kept("e1", "s", PARTS) == 0
     assert index.coming("e1", "s", [*PARTS[:2], ("another", 9)]) == 4800
-    index.read(("r1", 1))
+    index.read(("r1", 1), 1.0)
     assert index.backlog("e1") == 0
     assert index.kept("e1", "s", [*PARTS[:2], ("another", 9)]) == 4800
     assert index.kept("e1", "another salt", PARTS) == 0
@@ -74,7 +74,7 @@
     index = PrefixCacheIndex(lambda _: 0.0)
     index.placed(("r1", 1), placed())
     index.done(("r1", 1))
-    index.read(("r1", 1))
+    index.read(("r1", 1), 1.0)
     assert (index.backlog("e1"), index.kept("e1", "s", PARTS)) == (0, 0)
     # The end of one that nobody told of is assumed after a while; the same news twice change nothing.
     index.placed(("r2", 7), placed(at=5.0))
@@ -91,7 +91,7 @@
     index = PrefixCacheIndex(lambda _: 0.0)
     for number, endpoint in enumerate(("e1", "e2", "e3")):
         index.placed(("r", number), placed(endpoint))
-        index.read(("r", number))
+        index.read(("r", number), 1.0)
     index.placed(("r", 9), placed("e1"))
     index.clear_endpoint("e2")
     index.set_endpoints(["e2", "e3"])
@@ -125,7 +125,7 @@
     index = PrefixCacheIndex(lambda _: 1000.0)
     for number in range(20):
         index.placed(("r", number), placed("e", [(f"p{number}", 100)]))
-        index.read(("r", number))
+        index.read(("r", number), 1.0)
     assert sum(index.kept("e", "s", [(f"p{number}", 100)]) for number in range(20)) == 1000 * ENDPOINT_SHARE
 
 
--- a/tests/test_reserved_share.py
+++ b/tests/test_reserved_share.py
@@ -16,6 +16,7 @@
 from plumline.lab.clients import Tally
 from plumline.lab.engine import Engine, Shape
 from plumline.registrar.publisher import FeedPublisher, Subscriber
+from plumline.routing.read_rates import START_TOKENS_PER_MS
 from plumline.routing.reserved_quota import CALM, Standing
 from tests.dispatch_world import FULL, MODEL, Peer, Router, answer, document, made, within
 
@@ -23,6 +24,7 @@
     {"Name": "library", "ApiKeys": ["key-l"], "Priority": 2, "ReservedShare": 0.3},
     {"Name": "other", "ApiKeys": ["key-o"], "Priority": 0},
 ]
+FLOOD_TOKENS = int(245 * START_TOKENS_PER_MS)  # 245 ms of work, every 20 ms
 PLAIN = [{name: each for name, each in tenant.items() if name != "ReservedShare"} for tenant in TENANTS]
 
 
@@ -160,7 +162,7 @@
         router, clock, peers = await prepared(TENANTS)
         refused = 0
         for n in range(60):
-            status, headers = await asked(router, clock, "key-o", 15000)  # 245 ms of work in 20 ms
+            status, headers = await asked(router, clock, "key-o", FLOOD_TOKENS)
             if status == 429:
                 refused += 1
                 assert 0.2 <= float(headers["retry-after"]) <= 1.0
@@ -210,7 +212,7 @@
 def test_over_share_in_a_slight_surge_goes_last_or_not_at_all_if_late(waits_ms: float, status: int) -> None:
     async def work() -> None:
         router, clock, peers = await prepared(TENANTS, 1)
-        router.dispatcher.load("e0").unread = waits_ms * 61.2
+        router.dispatcher.load("e0").unread = waits_ms * START_TOKENS_PER_MS
         shares = router.dispatcher.shares
         shares.ask = lambda *given: Standing(1.1, True, True, 0.4)  # type: ignore[method-assign]
         got, headers = await asked(router, clock, "key-o", 1000)
