Count parts that are being read as read, and why parts are read again

Cause: a second prompt for a part saw no cost of reading it again while the first was still being read, so it went wherever its own reading was over soonest; the faster the engines, the sooner. Change: the index knows the parts of prompts that are being read. Counters reread-tokens.* tell the tokens that a choice knowingly has read again, by why.

--- a/plumline/prefix_cache/index.py
+++ b/plumline/prefix_cache/index.py
@@ -9,7 +9,7 @@
 """
 
 import math
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from typing import Any
@@ -136,6 +136,7 @@
         self.streams: dict[Serial, Placement] = {}  # those, oldest first
         self.stores: dict[str, StoreContents] = {}  # by address, "ip:port"
         self.seen: OrderedDict[tuple[str, str], None] = OrderedDict()  # parts that somebody has read
+        self.being_read: Counter[tuple[str, str]] = Counter()  # parts of prompts that are being read
 
     # News.
 
@@ -146,6 +147,7 @@
         key = placement.endpoint
         placement.waited = key in self.unread
         self.unread[key] = self.unread.get(key, 0.0) + placement.missing
+        self.being_read.update((placement.salt, name) for name, _ in placement.parts)
         self.resident[key] = self.resident.get(key, 0.0) + size_of(placement.parts)
         if placement.saves:
             self.store(placement.saves).sent(placement.at, placement.salt, placement.parts)
@@ -178,6 +180,10 @@
         placement = self.placements.pop(serial, None)
         if placement is not None:
             lower(self.unread, placement.endpoint, placement.missing)
+            for name, _ in placement.parts:
+                self.being_read[placement.salt, name] -= 1
+                if not self.being_read[placement.salt, name]:
+                    del self.being_read[placement.salt, name]
         return placement
 
     def age(self, now: float) -> None:
@@ -230,8 +236,13 @@
         return self.resident.get(endpoint, 0.0)
 
     def read_before(self, salt: str, parts: Iterable[PrefixBlock]) -> int:
-        """Tokens at the prompt's start that somebody has read: to read them again is waste."""
-        return leading_tokens(parts, lambda part: (salt, part[0]) in self.seen)
+        """Tokens at the prompt's start that somebody has read, or is reading: to read them again is waste."""
+
+        def is_read(part: PrefixBlock) -> bool:
+            key = (salt, part[0])
+            return key in self.seen or key in self.being_read
+
+        return leading_tokens(parts, is_read)
 
     def coming(self, endpoint: str, salt: str, parts: Sequence[PrefixBlock]) -> int:
         """Tokens at the prompt's start that the endpoint keeps or is reading for another request."""
--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -104,11 +104,26 @@
             return
         self.number = next(router.serials)
         missing = float(self.candidate.missing - self.candidate.movable)
+        self.count_reread()
         placement = Placement(self.endpoint.id, self.salt.text, prompt.parts, missing, self.saves, self.began)
         router.index.placed((router.node, self.number), placement)
         parts = [list(each) for each in prompt.parts]
         router.tell(["placed", self.number, self.endpoint.id, self.salt.text, parts, missing, self.saves])
 
+    def count_reread(self) -> None:
+        """Counts the tokens of shared parts that will be read though somebody has read them, by why."""
+        if not (tokens := round(self.candidate.again)):
+            return
+        router, shared = self.router, self.request.prompt.parts[:-1]
+        assert self.salt is not None
+        if any(router.index.kept(each, self.salt.text, shared) for each in router.index.keeps):
+            cause = "kept-elsewhere"
+        elif any((self.salt.text, name) in router.index.being_read for name, _ in shared):
+            cause = "being-read-elsewhere"
+        else:
+            cause = "kept-nowhere"
+        router.counters.add(f"reread-tokens.{cause}", tokens)
+
     def count(self, name: str) -> None:
         """One more send that ended so."""
         self.router.counters.add(f"send-{name}")
--- a/tests/test_prefix_cache_index.py
+++ b/tests/test_prefix_cache_index.py
@@ -213,3 +213,30 @@
             assert math.isclose(steady.rates(step / 10)[0], 200.0, rel_tol=0.12)
     assert is_long(40.0, 300.0)
     assert not is_long(6.0, 300.0)
+
+
+def test_a_part_that_is_being_read_counts_as_read_until_its_prompt_is_given_up() -> None:
+    """Else a second prompt would have it read at another endpoint, as if that cost no more than its time."""
+    index = PrefixCacheIndex(lambda _: 100_000)
+    shared = PARTS[:2]
+    index.placed(("r1", 1), placed())
+    index.placed(("r2", 1), placed("e2"))
+    assert index.read_before("s", shared) == 4800 and index.read_before("another salt", shared) == 0
+    index.done(("r1", 1))
+    assert index.read_before("s", shared) == 4800
+    index.done(("r2", 1))
+    assert index.read_before("s", shared) == 0 and not index.being_read
+
+
+def test_only_prompts_that_found_no_other_unread_tell_how_fast_an_endpoint_reads() -> None:
+    told: list[tuple[str, float, float]] = []
+    index = PrefixCacheIndex(lambda _: 100_000, lambda *reading: told.append(reading))
+    index.placed(("r1", 1), placed(at=1.0))
+    index.placed(("r2", 1), placed(at=1.1))
+    index.placed(("r2", 2), placed("e2", at=1.1))
+    for serial, now in ((("r2", 1), 1.2), (("r1", 1), 1.3), (("r2", 2), 1.35)):
+        index.read(serial, now)
+    assert [(endpoint, tokens, round(ms)) for endpoint, tokens, ms in told] == [
+        ("e1", 5100.0, 300),
+        ("e2", 5100.0, 250),
+    ]
