--- a/plumline/prefix_cache/index.py
+++ b/plumline/prefix_cache/index.py
@@ -244,6 +244,10 @@
 
         return leading_tokens(parts, is_read)
 
+    def is_being_read(self, salt: str, part: PrefixBlock) -> bool:
+        """Whether a prompt with this part is being read at any endpoint."""
+        return (salt, part[0]) in self.being_read
+
     def coming(self, endpoint: str, salt: str, parts: Sequence[PrefixBlock]) -> int:
         """Tokens at the prompt's start that the endpoint keeps or is reading for another request."""
         best = self.kept(endpoint, salt, parts)
--- a/plumline/router/request_handler.py
+++ b/plumline/router/request_handler.py
@@ -8,11 +8,15 @@
 from plumline.router.progress import RESPONSE_MARGIN_S, RETRY_AFTER_RANGE_S, Progress, Proof
 from plumline.router.relay import Headers, value_of
 from plumline.router.router_state import RouterState
-from plumline.router.selection import Selection
+from plumline.router.selection import Picked, Selection
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.reserved_quota import CALM
 from plumline.wire.exchange import Exchange
 
+#: Of the aim: how long a request may wait, in all, while others' prompts with its shared part are read. Sent
+#: at once it would be read beside them, and be no earlier.
+MAX_READING_WAIT_SHARE = 1 / 2
+READING_POLL_S = 0.005  # between two looks whether that is over
 MAX_HOLD_SHARE = 1 / 8  # of the aim: how long a request may be held, once, for an endpoint to be ready
 
 log = logs.logger("dispatch")
@@ -27,6 +31,7 @@
         self.progress = Progress()
         self.standing = CALM
         self.timer: asyncio.TimerHandle | None = None
+        self.reading_wait_began: float | None = None  # steady s
         self.ended = False  # given up: the final answer, or none any more, has gone out
 
     async def run(self) -> None:
@@ -116,6 +121,9 @@
                 held = True
                 await asyncio.sleep(wait)
                 continue
+            if self.pauses_for_reading(selection, picked, now):
+                await asyncio.sleep(READING_POLL_S)
+                continue
             if progress.attempts and not progress.retry_granted:
                 if not router.budget.try_spend(now, request.service, router.fleet.routers):
                     self.count("over-budget")
@@ -127,6 +135,16 @@
             progress.may_have_run |= proof is Proof.MAY_HAVE_RUN
         self.give_up()
 
+    def pauses_for_reading(self, selection: Selection, picked: Picked, now: float) -> bool:
+        """Whether the request waits on while another prompt's reading of its shared part goes on."""
+        if not selection.awaits_reading(picked):
+            return False
+        if self.reading_wait_began is None:
+            self.count("waited-for-reading")
+            self.reading_wait_began = now
+        longest_s = selection.request.route.latency_target_ms / 1000 * MAX_READING_WAIT_SHARE
+        return now - self.reading_wait_began < longest_s
+
     # Answers of our own.
 
     def give_up(self) -> None:
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -5,7 +5,7 @@
 
 from plumline.configuration.entities import Service
 from plumline.prefix_cache.blocks import size_of
-from plumline.router.admission import Request
+from plumline.router.admission import TRACKED_TOKENS, Request
 from plumline.router.progress import RETRY_AFTER_RANGE_S, Progress
 from plumline.router.router_state import RouterState, address_text
 from plumline.routing.cache_salt import Salt, salt_for
@@ -227,7 +227,21 @@
             if home is not None and each.id != home:
                 each.astray_ms += away
 
-    # Whether it is worth sending.
+    # Whether it is worth sending, and now.
+
+    def awaits_reading(self, picked: Picked) -> bool:
+        """Whether the endpoint would read shared parts that are being read just now, there or elsewhere.
+
+        An endpoint that is sent two prompts with one shared part while it keeps that part for neither reads
+        it for both. Once the first has been read the part is found there, or can be moved.
+        """
+        prompt, salt, index = self.request.prompt, picked.salt, self.router.index
+        if not MECHANISMS.reading_waits or not prompt.long or salt is None or not self.shared:
+            return False
+        if not index.is_being_read(salt.text, self.shared[-1]):
+            return False
+        found = index.kept(picked.endpoint.id, salt.text, self.shared) + picked.candidate.movable
+        return self.shared_tokens - found >= TRACKED_TOKENS
 
     def is_over_share(self, best: Candidate) -> bool:
         """Whether its tenant is over its share in a surge and it would be late even where it costs least."""
--- a/plumline/routing/mechanisms.py
+++ b/plumline/routing/mechanisms.py
@@ -23,6 +23,7 @@
     choice_of_two: bool = True  # of costs that are alike the better of two by chance
     observed_excess: bool = True  # what first pieces took longer than expected counts for a while
     holding: bool = True  # a request waits a little for an endpoint to be ready
+    reading_waits: bool = True  # a prompt waits while its shared part is read for another
     second_attempts: bool = True  # a request goes to another endpoint where that may be
     reread_cost: bool = True  # reading again what somebody has read costs more than its time
 
