--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from plumline import logs
 from plumline.prefix_cache.index import Placement
 from plumline.router.progress import RESPONSE_MARGIN_S, RETRY_AFTER_RANGE_S, Proof
 from plumline.router.relay import (
@@ -31,6 +32,8 @@
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.outcomes import Call
 
+log = logs.logger("dispatch")
+
 SHUNNED = 1.0  # s without sends to an endpoint whose weights turned out to be others than known
 PROMISES = frozenset((408, 421, 429, 503))  # a client takes these for 'has not run and never will'
 
@@ -395,9 +398,37 @@
         self.wrote = True
         self.release()
         now = self.router.clock()
-        excess_ms = (now - self.began) * 1000 - expected_ms(self.candidate)
+        took_ms = (now - self.began) * 1000
+        excess_ms = took_ms - expected_ms(self.candidate)
         self.load.first_piece(now, excess_ms)
         self.router.shares.ended(self.request.service, excess_ms > self.request.route.latency_target_ms / 2)
+        if self.request.prompt.long:
+            self.explain_if_late(now, took_ms)
+
+    def explain_if_late(self, now: float, took_ms: float) -> None:
+        """Logs what a choice was made on whose first piece came after the route's target."""
+        total_ms = (now - self.request.exchange.began) * 1000
+        if total_ms <= self.request.route.latency_target_ms:
+            return
+        self.router.counters.add("request-late-first-piece")
+        each = self.candidate
+        line = logs.event(
+            "late-first-piece",
+            endpoint=each.id,
+            total_ms=round(total_ms),
+            took_ms=round(took_ms),
+            expected_ms=round(expected_ms(each)),
+            tokens=self.request.prompt.tokens,
+            missing=round(each.missing),
+            movable=round(each.movable),
+            moved_ms=round(each.moved_ms),
+            unread=round(each.unread),
+            running=each.running,
+            excess_ms=round(each.excess_ms),
+            again=round(each.again),
+            read_rate=round(each.read_rate, 1),
+        )
+        log.info(line)
 
     def keep(self, connection: UpstreamConnection, headers: Headers) -> None:
         """Gives the connection back for as long as the answer allows."""
--- a/plumline/router/request_handler.py
+++ b/plumline/router/request_handler.py
@@ -1,9 +1,10 @@
 """One request's life: admission, the loop of choices and sends, holding, and the answers of our own."""
 
 import asyncio
+import contextlib
 
 from plumline import logs
-from plumline.router.admission import Denial, Request, admit
+from plumline.router.admission import Denial, Request, admit, remaining_ms
 from plumline.router.attempt import attempt
 from plumline.router.progress import RESPONSE_MARGIN_S, RETRY_AFTER_RANGE_S, Progress, Proof
 from plumline.router.relay import Headers, value_of
@@ -17,6 +18,9 @@
 #: at once it would be read beside them, and be no earlier.
 MAX_READING_WAIT_SHARE = 1 / 2
 READING_POLL_S = 0.005  # between two looks whether that is over
+STARTING_S = 3.0  # from a process's start: what it does not know by then may be long in coming
+MAX_START_WAIT_S = 1.0  # that a request waits for what a process that has just started lacks
+MAX_START_WAIT_SHARE = 1 / 2  # the same, of what its client has left
 MAX_HOLD_SHARE = 1 / 8  # of the aim: how long a request may be held, once, for an endpoint to be ready
 
 log = logs.logger("dispatch")
@@ -40,6 +44,10 @@
         if self.ended:  # before its first step
             return
         try:
+            if not self.router.equipped.is_set():
+                await self.wait_until_equipped()
+                if self.ended or exchange.gone:
+                    return
             admitted = admit(self.router, exchange, self.id)
             if isinstance(admitted, Denial):
                 self.answer(admitted.status, admitted.name, admitted.retry_after_s)
@@ -61,6 +69,19 @@
                 self.timer.cancel()
             exchange.on_gone = None
 
+    async def wait_until_equipped(self) -> None:
+        """Waits for the configuration and the endpoints of a process that has just started: they are a few
+        tenths of a second away, and a client that is refused until then may have no other try."""
+        router = self.router
+        client_s = remaining_ms(self.exchange.headers) / 1000 * MAX_START_WAIT_SHARE
+        start_s = router.started_at + STARTING_S - router.clock()
+        wait_s = min(MAX_START_WAIT_S, client_s, start_s)
+        if wait_s <= 0:
+            return
+        self.count("waited-for-start")
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(router.equipped.wait(), wait_s)
+
     def count(self, name: str) -> None:
         """One more request that ended so."""
         self.router.counters.add(f"request-{name}")
--- a/plumline/router/router_state.py
+++ b/plumline/router/router_state.py
@@ -1,6 +1,7 @@
 """What a router knows of the fleet and what its requests share: loads, the index of prompts, lanes, stores,
 versions, shares; and how the fleet's news changes them."""
 
+import asyncio
 import itertools
 import random
 import time
@@ -102,6 +103,9 @@
         self.learned: dict[str, dict[str, int]] = {}  # {model: version} that its answers told
         self.shunned: dict[str, float] = {}  # until when
         self.gone: set[str] = set()  # those whose address answered for another incarnation
+        #: Set once a configuration and endpoints are known, for the first time in this process's life.
+        self.equipped = asyncio.Event()
+        self.started_at = clock()
         self.told("configuration")
         self.told("endpoints")
         fleet.watchers.append(self.told)
@@ -118,6 +122,9 @@
             self.told_stores(self.fleet.stores)
         elif topic == "endpoints":
             self.told_endpoints(self.fleet.endpoints)
+        if self.fleet.table is not None and self.fleet.endpoints and not self.equipped.is_set():
+            log.info(logs.event("equipped", endpoints=len(self.fleet.endpoints)))
+            self.equipped.set()
 
     def told_configuration(self) -> None:
         """Another configuration is in force."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -7,6 +7,7 @@
 
 from plumline.configuration.replicated_state import ReplicatedConfiguration
 from plumline.configuration.route_table import RouteTable
+from plumline.router.request_handler import READING_POLL_S, STARTING_S
 from plumline.wire.exchange import Exchange
 from tests.dispatch_world import (
     FULL,
@@ -335,3 +336,75 @@
         assert not peer.heads
 
     within(work())
+
+
+def test_a_prompt_waits_while_its_shared_part_is_read_for_another() -> None:
+    async def work() -> None:
+        first_piece = asyncio.Event()
+        slow = stream(first_piece, b"data: 1\n\n")
+        peers = [Peer("e0", slow, stream(b"data: 2\n\n")), Peer("e1", slow, stream(b"data: 2\n\n"))]
+        router = await made(document(Kind="streaming", TargetLatencyMs=20_000, TimeoutMs=30_000), *peers)
+        one = asyncio.ensure_future(router.ask(**hyphenless(LONG)))
+        while not any(each.heads for each in peers):
+            await asyncio.sleep(0)
+        another = LONG | {"Prompt-Prefix": "aa:13300,cc:3700"}
+        two = asyncio.ensure_future(router.ask(Attempt_Id="id-2", **hyphenless(another)))
+        while not router.counters.get("request-waited-for-reading"):
+            await asyncio.sleep(0)
+        await asyncio.sleep(4 * READING_POLL_S)
+        assert sum(len(each.heads) for each in peers) == 1
+        first_piece.set()
+        assert [(await each)[0] for each in (one, two)] == [200, 200]
+        assert sorted(len(each.heads) for each in peers) == [0, 2]  # there the part is kept by then
+
+    within(work())
+
+
+def test_the_wait_for_anothers_reading_ends_with_a_share_of_the_target() -> None:
+    async def work() -> None:
+        never = asyncio.Event()
+        peers = [Peer("e0", stream(never)), Peer("e1", stream(never))]
+        router = await made(document(Kind="streaming", TargetLatencyMs=60, TimeoutMs=30_000), *peers)
+        waiting = [
+            asyncio.ensure_future(router.ask(Attempt_Id=f"id-{number}", **hyphenless(LONG)))
+            for number in range(2)
+        ]
+        while sum(len(each.heads) for each in peers) < 2:
+            await asyncio.sleep(0.001)
+        for each in waiting:
+            each.cancel()
+        router.dispatcher.end_requests()
+
+    within(work())
+
+
+def test_a_request_waits_for_what_a_router_that_has_just_started_lacks() -> None:
+    async def work() -> None:
+        peer = Peer("e0", answer())
+        router = await made(None, peer)
+        early = asyncio.ensure_future(router.ask())
+        while not router.counters.get("request-waited-for-start"):
+            await asyncio.sleep(0)
+        assert not peer.heads
+        router.fleet.state = ReplicatedConfiguration()
+        router.fleet.table = RouteTable(document())
+        router.fleet.tell("configuration")
+        assert (await early)[0] == 200
+
+    within(work())
+
+
+def test_a_router_that_lacks_it_for_long_refuses_at_once() -> None:
+    async def work() -> None:
+        router = await made(None, Peer("e0", answer()))
+        router.dispatcher.started_at -= STARTING_S
+        status, headers, _ = await router.ask()
+        assert status == 503 and float(headers["retry-after"]) > 0
+        assert not router.counters.get("request-waited-for-start")
+
+    within(work())
+
+
+def hyphenless(headers: dict[str, str]) -> dict[str, str]:
+    """The headers as keyword arguments."""
+    return {name.replace("-", "_"): value for name, value in headers.items()}
