--- a/plumline/prefix_cache/events.py
+++ b/plumline/prefix_cache/events.py
@@ -10,6 +10,8 @@
 
 from plumline.prefix_cache.blocks import PrefixBlock
 
+PLACED_KIND = "placed"
+
 
 @dataclass(frozen=True, slots=True)
 class Placed:
--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -101,14 +101,20 @@
             self.number = 0
 
     def place(self) -> None:
-        """A long prompt is on its way: the others are told."""
+        """Tells the others of a long prompt, before it is sent: on a slow link the news would come behind the
+        request's body, and another router would choose the same endpoint meanwhile."""
         router, prompt = self.router, self.request.prompt
         if not prompt.long or self.salt is None:
             return
+        store = router.store_for(prompt.parts) if prompt.parts else None
+        if store and store.cache_store_address and MECHANISMS.store_saves:
+            address = address_text(store.cache_store_address)
+            self.saves = address if self.worth_saving(address) else ""
         self.number = next(router.serials)
         missing = float(self.candidate.missing - self.candidate.movable)
         self.count_reread()
-        placement = Placement(self.endpoint.id, self.salt.text, prompt.parts, missing, self.saves, self.began)
+        now = router.clock()
+        placement = Placement(self.endpoint.id, self.salt.text, prompt.parts, missing, self.saves, now)
         router.index.placed((router.node, self.number), placement)
         parts = [list(each) for each in prompt.parts]
         router.tell(["placed", self.number, self.endpoint.id, self.salt.text, parts, missing, self.saves])
@@ -138,6 +144,7 @@
 
     async def run(self) -> Proof:
         """Sends the request and relays its answer."""
+        self.place()
         connection = self.sent_on_kept() or await self.sent_on_new()
         if connection is None:
             return Proof.NOT_RUN
@@ -199,7 +206,6 @@
         progress.attempted.add(self.endpoint.id)
         if self.salt:
             router.affinity.sent(self.salt.text, request.prompt.parts, self.endpoint.id, self.began)
-        self.place()
         return True
 
     def headers(self, left: int) -> Headers:
@@ -227,8 +233,7 @@
                 address = store.cache_store_address if store and prompt.long else None
                 if (source := self.candidate.source or address) and MECHANISMS.prefix_fetch:
                     headers.append((b"kv-fetch", address_text(source).encode()))
-                if address and MECHANISMS.store_saves and self.worth_saving(address_text(address)):
-                    self.saves = address_text(address)
+                if self.saves:
                     headers.append((b"kv-save", self.saves.encode()))
         return headers
 
--- a/plumline/router/subscriber.py
+++ b/plumline/router/subscriber.py
@@ -22,6 +22,7 @@
 from plumline.coordination.soft_state import SoftState
 from plumline.counters import Counters
 from plumline.errors import FrameError, PlumlineError
+from plumline.prefix_cache.events import PLACED_KIND
 from plumline.router.feed_source import FeedLag, FeedSource
 from plumline.routing.fleet import Fleet
 from plumline.routing.mechanisms import MECHANISMS
@@ -187,14 +188,17 @@
     # Prompt events of this router.
 
     def publish_prompt_event(self, event: list[Any]) -> None:
-        """Sends the event to the other routers, together with all others of this turn of the loop."""
-        if not self._unsent_prompt_events:
-            self.loop.call_soon(self._send_prompt_events)
+        """Sends the event to the other routers: a prompt that is placed at once, as choices depend on it;
+        others together with all of this turn of the loop."""
         self._unsent_prompt_events.append(event)
+        if event[0] == PLACED_KIND:
+            self._send_prompt_events()
+        elif len(self._unsent_prompt_events) == 1:
+            self.loop.call_soon(self._send_prompt_events)
 
     def _send_prompt_events(self) -> None:
         events, self._unsent_prompt_events = self._unsent_prompt_events, []
-        if not MECHANISMS.prompt_events:
+        if not events or not MECHANISMS.prompt_events:
             return
         if self.primary is not None and self.primary.link is not None:
             self.primary.link.send(["news", self.settings.node_name, events])
--- a/plumline/routing/read_rates.py
+++ b/plumline/routing/read_rates.py
@@ -1,14 +1,16 @@
 """How fast each endpoint reads prompts, learnt from the prompts that routers tell one another of.
 
 A prompt that finds no other to be read at its endpoint takes a time that grows with its tokens. The slope is
-fitted by least squares over what was seen: for each endpoint, as those of a service differ in speed, and for
-all endpoints of a service together, which is what an endpoint counts as before it has been seen enough.
+fitted by least squares over all endpoints of a service. Those of a service differ in speed, and one alone
+shows too little for a slope of its own: what its answers took in multiples of what the service's fit says is
+averaged instead.
 
-- Start: `START_TOKENS_PER_MS`, which weighs as much as `PRIOR_WEIGHT` says and no more.
-- Bounds: a rate stays within `TOKENS_PER_MS_RANGE`, and one observation within `MAX_OBSERVED_MS`.
-- Forgetting: each observation lowers the weight of those before it, so that some
-  1 / (1 - `ENDPOINT_MEMORY`) of an endpoint's count. An endpoint that restarts has another id and begins
-  anew as the service's others are; other weights change nothing.
+- Start: `START_TOKENS_PER_MS`, which weighs as much as `PRIOR_WEIGHT` says; an endpoint starts as a usual one.
+- Bounds: the service's rate stays within `TOKENS_PER_MS_RANGE`, an endpoint's within `SLOWNESS_RANGE` of it,
+  and one observation within `MAX_OBSERVED_MS`.
+- Forgetting: each observation lowers the weight of those before it: some 50 count of a service
+  (`SERVICE_MEMORY`), some 10 of an endpoint (`SLOWNESS_WEIGHT`). An endpoint that restarts has another id and
+  begins anew; other weights change nothing.
 
 Pure; tokens, milliseconds and tokens per millisecond.
 """
@@ -21,7 +23,8 @@
 MAX_OBSERVED_MS = 10_000.0  # what took longer was held up by something else
 MIN_OBSERVED_TOKENS = 256  # what is shorter says nothing of the rate
 SERVICE_MEMORY = 0.98  # weight that an observation leaves to those before it, of a service
-ENDPOINT_MEMORY = 0.9  # the same of one endpoint
+SLOWNESS_WEIGHT = 0.1  # of the newest observation of one endpoint
+SLOWNESS_RANGE = (0.5, 4.0)  # times what a usual endpoint of the service takes
 #: What a prior weighs, as a spread of observed sizes in tokens squared: that of two prompts 4,000 apart.
 PRIOR_WEIGHT = 2 * 2000.0**2
 
@@ -47,15 +50,17 @@
         self.tokens_squared = self.tokens_squared * self.memory + off_tokens * (tokens - self.mean_tokens)
         self.product = self.product * self.memory + off_tokens * (ms - self.mean_ms)
 
-    def ms_per_token(self, prior: float) -> float:
-        """The slope, drawn towards `prior` while little has been seen."""
-        return (self.product + PRIOR_WEIGHT * prior) / (self.tokens_squared + PRIOR_WEIGHT)
-
+    def expected_ms(self, tokens: float, prior: float) -> float:
+        """What the fit says of a prompt of so many tokens; never less than its slope alone."""
+        slope = self.ms_per_token(prior)
+        base_ms = max(self.mean_ms - slope * self.mean_tokens, 0.0) if self.weight else 0.0
+        return base_ms + slope * tokens
 
-def bounded_rate(ms_per_token: float) -> float:
-    """Tokens a ms within the bounds, of a slope that noise may have made anything."""
-    slowest, fastest = TOKENS_PER_MS_RANGE
-    return min(max(1 / max(ms_per_token, 1 / fastest), slowest), fastest)
+    def ms_per_token(self, prior: float) -> float:
+        """The slope, drawn towards `prior` while little has been seen; within the bounds of rates."""
+        slope = (self.product + PRIOR_WEIGHT * prior) / (self.tokens_squared + PRIOR_WEIGHT)
+        slowest, fastest = TOKENS_PER_MS_RANGE
+        return min(max(slope, 1 / fastest), 1 / slowest)
 
 
 @dataclass(slots=True)
@@ -63,26 +68,27 @@
     """The rates of one service's endpoints."""
 
     shared: Slope = field(default_factory=lambda: Slope(SERVICE_MEMORY))
-    endpoints: dict[str, Slope] = field(default_factory=dict)  # by id
+    slowness: dict[str, float] = field(default_factory=dict)  # by endpoint id, in multiples of the usual time
 
     def observe(self, endpoint: str, tokens: float, ms: float) -> None:
         """An endpoint has taken this long for a prompt of so many tokens that it did not keep."""
         if tokens < MIN_OBSERVED_TOKENS or not 0.0 < ms <= MAX_OBSERVED_MS:
             return
+        lowest, highest = SLOWNESS_RANGE
+        ratio = ms / self.shared.expected_ms(tokens, 1 / START_TOKENS_PER_MS)
+        known = self.slowness.get(endpoint, 1.0)
+        self.slowness[endpoint] = known + (min(max(ratio, lowest), highest) - known) * SLOWNESS_WEIGHT
         self.shared.observe(tokens, ms)
-        self.endpoints.setdefault(endpoint, Slope(ENDPOINT_MEMORY)).observe(tokens, ms)
 
     def typical(self) -> float:
         """Tokens a ms that an endpoint of the service reads, where none is meant in particular."""
-        return bounded_rate(self.shared.ms_per_token(1 / START_TOKENS_PER_MS))
+        return 1 / self.shared.ms_per_token(1 / START_TOKENS_PER_MS)
 
     def of(self, endpoint: str) -> float:
         """Tokens a ms that this endpoint reads."""
-        typical = self.typical()
-        slope = self.endpoints.get(endpoint)
-        return bounded_rate(slope.ms_per_token(1 / typical)) if slope else typical
+        return self.typical() / self.slowness.get(endpoint, 1.0)
 
     def retain(self, ids: Iterable[str]) -> None:
         """Forgets the endpoints that are gone."""
         known = set(ids)
-        self.endpoints = {key: each for key, each in self.endpoints.items() if key in known}
+        self.slowness = {key: each for key, each in self.slowness.items() if key in known}
--- a/tests/test_read_rates.py
+++ b/tests/test_read_rates.py
@@ -8,6 +8,7 @@
 
 from plumline.routing.read_rates import (
     MAX_OBSERVED_MS,
+    SLOWNESS_RANGE,
     START_TOKENS_PER_MS,
     TOKENS_PER_MS_RANGE,
     ServiceReadRates,
@@ -35,12 +36,22 @@
 
 def test_endpoints_of_one_service_that_differ_are_told_apart() -> None:
     rates, chance = ServiceReadRates(), random.Random(2)
-    for _ in range(12):
+    for _ in range(ANSWERS):
         observe(rates, "fast", 157.0, 30.0, chance)
         observe(rates, "slow", 157.0 / 3, 30.0, chance)
     assert rates.of("fast") > 2 * rates.of("slow")
 
 
+def test_no_noise_makes_one_endpoint_look_far_faster_than_the_others() -> None:
+    """All prompts would go there: short ones that took long and long ones that took little must not do so."""
+    rates, chance = ServiceReadRates(), random.Random(4)
+    for _ in range(ANSWERS):
+        observe(rates, "usual", 150.0, 30.0, chance)
+    for tokens, ms in ((3_000, 400.0), (20_000, 140.0), (3_000, 400.0), (30_000, 220.0)):
+        rates.observe("odd", tokens, ms)
+    assert rates.of("odd") < 2 * rates.of("usual")
+
+
 def test_what_was_learnt_is_forgotten_as_an_endpoint_changes_or_goes() -> None:
     rates, chance = ServiceReadRates(), random.Random(3)
     for rate in (300.0, 30.0):
@@ -64,4 +75,6 @@
     for tokens, ms in answers:
         rates.observe("e", tokens, ms)
     slowest, fastest = TOKENS_PER_MS_RANGE
-    assert slowest <= rates.of("e") <= fastest and slowest <= rates.typical() <= fastest
+    least, most = SLOWNESS_RANGE
+    assert slowest * 0.999 <= rates.typical() <= fastest * 1.001
+    assert rates.typical() / most * 0.999 <= rates.of("e") <= rates.typical() / least * 1.001
