--- a/plumline/routing/read_rates.py
+++ b/plumline/routing/read_rates.py
@@ -5,7 +5,7 @@
 shows too little for a slope of its own: what its answers took in multiples of what the service's fit says is
 averaged instead.
 
-- Start: `START_TOKENS_PER_MS`, which weighs as much as `PRIOR_WEIGHT` says; an endpoint starts as a usual one.
+- Start: `START_TOKENS_PER_MS`, with the weight `PRIOR_WEIGHT`; an endpoint starts as a usual one.
 - Bounds: the service's rate stays within `TOKENS_PER_MS_RANGE`, an endpoint's within `SLOWNESS_RANGE` of it,
   and one observation within `MAX_OBSERVED_MS`.
 - Forgetting: each observation lowers the weight of those before it: some 50 count of a service
