--- a/plumline/router/admission.py
+++ b/plumline/router/admission.py
@@ -7,7 +7,7 @@
 from plumline.prefix_cache.blocks import PrefixBlock, output_tokens, parse_parts, prompt_tokens, size_of
 from plumline.router.relay import Headers, request_headers, value_of
 from plumline.router.router_state import RouterState
-from plumline.routing.queue_classes import TOKEN_MS, is_long
+from plumline.routing.queue_classes import OUTPUT_WEIGHT, is_long
 from plumline.routing.reserved_quota import Standing, priority
 from plumline.wire.exchange import Exchange
 from plumline.wire.http import decimal
@@ -177,4 +177,4 @@
     # One whose shared parts are worth tracking is dealt with as a long one, however fast it is read.
     is_tracked = size_of(parts[:-1]) >= TRACKED_TOKENS
     long = is_tracked or is_long(tokens / read_rate, latency_target_ms)
-    return Prompt(model, parts, tokens, output_tokens(counts) * TOKEN_MS, long)
+    return Prompt(model, parts, tokens, output_tokens(counts) * OUTPUT_WEIGHT / read_rate, long)
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -13,7 +13,7 @@
 from plumline.routing.fleet import Address, Endpoint
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.prefix_fetch import Fetch, Holder, best_fetch, may_gain
-from plumline.routing.queue_classes import AWAY_MS, SHORT_AWAY_MS
+from plumline.routing.queue_classes import AWAY_SHARE, SHORT_AWAY_SHARE
 
 LEAST_CONNECTIONS = 2  # to an endpoint, however many routers share its limit
 SILENCE_SHARE = 0.8  # of the silence that a client bears, in which a first piece must be expected
@@ -134,7 +134,8 @@
         """The endpoint as this request sees it, but for the lanes."""
         router, prompt = self.router, self.request.prompt
         load = router.load(endpoint.id)
-        read_rate = router.read_rates_of(self.request.service).of(endpoint.id)
+        rates = router.read_rates_of(self.request.service)
+        read_rate = rates.of(endpoint.id)
         kept = self.kept_at(endpoint, salt, look.now)
         fetch = self.fetch_to(endpoint, salt, kept, read_rate, look)
         return Candidate(
@@ -149,6 +150,7 @@
             same_zone=endpoint.zone == router.zone,
             connected=router.pool.has_idle(endpoint.id, look.now),
             read_rate=read_rate,
+            reading_ms=rates.typical_reading_ms(),
             source=fetch.source if fetch else None,
             again=self.read_again(salt, kept + (fetch.tokens if fetch else 0)),
         )
@@ -221,11 +223,12 @@
             short, long = lanes.work.rates(now)
             lanes.fleet = short * routers, long * routers
         home = lanes.home(prompt.parts, prompt.long)
-        away = AWAY_MS if prompt.long else SHORT_AWAY_MS
+        reading_ms = router.read_rates_of(self.request.service).typical_reading_ms()
+        away_ms = reading_ms * (AWAY_SHARE if prompt.long else SHORT_AWAY_SHARE)
         for each in candidates:
-            each.astray_ms = lanes.astray_ms(each.id, prompt.long)
+            each.astray_ms = lanes.astray_ms(each.id, prompt.long, reading_ms)
             if home is not None and each.id != home:
-                each.astray_ms += away
+                each.astray_ms += away_ms
 
     # Whether it is worth sending, and now.
 
--- a/plumline/routing/endpoint_scoring.py
+++ b/plumline/routing/endpoint_scoring.py
@@ -6,10 +6,10 @@
 
 from plumline.routing.fleet import Address
 from plumline.routing.mechanisms import MECHANISMS
-from plumline.routing.read_rates import START_TOKENS_PER_MS
+from plumline.routing.read_rates import START_READING_MS, START_TOKENS_PER_MS
 
-STEP_MS = 3.4  # of one decoding step: what each running request may delay another's piece by, at the most
-FULL_MS = 150.0  # by which a request waits for each one ahead of it beyond the slots
+RUNNING_TOKENS = 200  # each running request delays another's first piece by about the reading of so many
+FULL_SHARE = 0.65  # of a usual long prompt's reading: the wait for each request ahead beyond the slots
 ANOTHER_ZONE_MS = 0.5  # tie-breaks: below what one running request costs
 NEW_CONNECTION_MS = 2.0
 AGAIN_MS = 0.1  # by which reading a token again, that somebody has read, is worse than its time alone
@@ -24,7 +24,7 @@
     requests there; `slots`: places; `missing`: tokens of this prompt that it doesn't keep; `movable`: those
     of them that `source` holds, `moved_ms` the time to move them; `excess_ms`: lately seen beyond that;
     `astray_ms`: what sending it there costs others, or the expected wait behind others' requests;
-    `read_rate`: tokens a ms that it reads.
+    `read_rate`: tokens a ms that it reads; `reading_ms`: what a usual long prompt of its service takes.
     """
 
     id: str
@@ -40,6 +40,7 @@
     astray_ms: float = 0.0
     again: float = 0.0  # tokens of shared parts that would be read again
     read_rate: float = START_TOKENS_PER_MS
+    reading_ms: float = START_READING_MS
     source: Address | None = None  # where the movable tokens are fetched from
 
 
@@ -48,11 +49,9 @@
     each = candidate
     moved = min(each.moved_ms, each.movable / each.read_rate)
     read = (each.missing - each.movable) / each.read_rate + moved
-    wait = (
-        each.unread / each.read_rate
-        + each.running * STEP_MS
-        + max(each.running + 1 - each.slots, 0) * FULL_MS
-    )
+    beyond_slots = max(each.running + 1 - each.slots, 0)
+    ahead_ms = (each.unread + each.running * RUNNING_TOKENS) / each.read_rate
+    wait = ahead_ms + beyond_slots * each.reading_ms * FULL_SHARE
     return read + wait + each.excess_ms
 
 
--- a/plumline/routing/queue_classes.py
+++ b/plumline/routing/queue_classes.py
@@ -18,14 +18,15 @@
 from plumline.routing.mechanisms import MECHANISMS
 
 LONG_SHARE = 1 / 8  # of the service's shortest aim: a prompt that takes longer to read is a long one
-TOKEN_MS = 0.2  # of an endpoint's time that one token put out takes in a batch
+OUTPUT_WEIGHT = 10  # tokens that are read in the time that one token put out takes of a batch
 MEMORY_S = 10.0  # s over which the work is remembered
 LEAST_S = 0.5  # s: a clump at the beginning is no rate yet
 SHORT_USE = 0.45  # of its time that an endpoint of the short lane may be busy: the rest is for clumps
-SHORT_ASTRAY_MS = 60.0  # what a short request may expect to wait in the long lane, seen by nobody here
-LONG_ASTRAY_MS = 150.0  # what a long prompt costs the short requests of their lane
-AWAY_MS = 20.0  # what reading away from home costs: the part is moved there, or read twice
-SHORT_AWAY_MS = 5.0  # the same of a short request
+# Costs, as shares of the time in which a usual long prompt of the service is read:
+SHORT_ASTRAY_SHARE = 0.25  # what a short request may expect to wait in the long lane, seen by nobody here
+LONG_ASTRAY_SHARE = 0.65  # what a long prompt costs the short requests of their lane
+AWAY_SHARE = 0.1  # what reading away from home costs: the part is moved there, or read twice
+SHORT_AWAY_SHARE = 0.025  # the same of a short request
 
 Rates = tuple[float, float]  # ms of endpoints' time a second: for short requests, for long ones
 
@@ -84,15 +85,18 @@
         needed = math.ceil(short / 1000 / SHORT_USE)
         return count - min(max(needed, 1), count - 1)
 
-    def astray_ms(self, endpoint: str, long: bool) -> float:
-        """The cost of sending a request of this length to `endpoint`."""
+    def astray_ms(self, endpoint: str, long: bool, reading_ms: float) -> float:
+        """The cost of sending a request of this length to `endpoint`.
+
+        `reading_ms`: how long a usual long prompt of the service is read.
+        """
         split = self.split()
         if split == len(self.order) or endpoint not in self.order:
             return 0.0
         in_long_lane = self.order.index(endpoint) < split
         if in_long_lane is long:
             return 0.0
-        return LONG_ASTRAY_MS if long else SHORT_ASTRAY_MS
+        return reading_ms * (LONG_ASTRAY_SHARE if long else SHORT_ASTRAY_SHARE)
 
     def home(self, parts: Sequence[PrefixBlock], long: bool) -> str | None:
         """The endpoint of the request's lane at which its last shared part is read; None if none is
--- a/plumline/routing/read_rates.py
+++ b/plumline/routing/read_rates.py
@@ -22,6 +22,8 @@
 TOKENS_PER_MS_RANGE = (2.0, 5000.0)
 MAX_OBSERVED_MS = 10_000.0  # what took longer was held up by something else
 MIN_OBSERVED_TOKENS = 256  # what is shorter says nothing of the rate
+START_READING_MS = 200.0  # of a prompt that other requests wait behind, before any was seen
+START_READINGS = 4  # observations that this weighs as much as
 SERVICE_MEMORY = 0.98  # weight that an observation leaves to those before it, of a service
 SLOWNESS_WEIGHT = 0.1  # of the newest observation of one endpoint
 SLOWNESS_RANGE = (0.5, 4.0)  # times what a usual endpoint of the service takes
@@ -84,6 +86,11 @@
         """Tokens a ms that an endpoint of the service reads, where none is meant in particular."""
         return 1 / self.shared.ms_per_token(1 / START_TOKENS_PER_MS)
 
+    def typical_reading_ms(self) -> float:
+        """How long a prompt that routers tell one another of takes here until its first piece, on average."""
+        seen = self.shared.weight
+        return (self.shared.mean_ms * seen + START_READING_MS * START_READINGS) / (seen + START_READINGS)
+
     def of(self, endpoint: str) -> float:
         """Tokens a ms that this endpoint reads."""
         return self.typical() / self.slowness.get(endpoint, 1.0)
--- a/tests/test_prefix_cache_index.py
+++ b/tests/test_prefix_cache_index.py
@@ -177,9 +177,9 @@
     split = one.split()
     for place, endpoint in enumerate(one.order):
         in_long = place < split
-        assert (one.astray_ms(endpoint, True) == 0) is in_long
-        assert (one.astray_ms(endpoint, False) == 0) is not in_long
-    assert one.astray_ms("unknown", True) == 0
+        assert (one.astray_ms(endpoint, True, 200.0) == 0) is in_long
+        assert (one.astray_ms(endpoint, False, 200.0) == 0) is not in_long
+    assert one.astray_ms("unknown", True, 200.0) == 0
 
 
 @settings(max_examples=100, deadline=None)
