--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -34,6 +34,7 @@
 
 log = logs.logger("dispatch")
 
+EXPLANATION_INTERVAL_S = 10.0  # between two log lines that explain a late first piece
 SHUNNED = 1.0  # s without sends to an endpoint whose weights turned out to be others than known
 PROMISES = frozenset((408, 421, 429, 503))  # a client takes these for 'has not run and never will'
 
@@ -126,12 +127,12 @@
         router, shared = self.router, self.request.prompt.parts[:-1]
         assert self.salt is not None
         if any(router.index.kept(each, self.salt.text, shared) for each in router.index.keeps):
-            cause = "kept-elsewhere"
-        elif any((self.salt.text, name) in router.index.being_read for name, _ in shared):
-            cause = "being-read-elsewhere"
+            name = "reread-tokens.kept-elsewhere"
+        elif any(router.index.is_being_read(self.salt.text, part) for part in shared):
+            name = "reread-tokens.being-read-elsewhere"
         else:
-            cause = "kept-nowhere"
-        router.counters.add(f"reread-tokens.{cause}", tokens)
+            name = "reread-tokens.kept-nowhere"
+        router.counters.add(name, tokens)
 
     def count(self, name: str) -> None:
         """One more send that ended so."""
@@ -411,11 +412,14 @@
             self.explain_if_late(now, took_ms)
 
     def explain_if_late(self, now: float, took_ms: float) -> None:
-        """Logs what a choice was made on whose first piece came after the route's target."""
+        """Logs, for a sample of them, what a choice was made on whose first piece came after the target."""
         total_ms = (now - self.request.exchange.began) * 1000
         if total_ms <= self.request.route.latency_target_ms:
             return
         self.router.counters.add("request-late-first-piece")
+        if now < self.router.next_explanation_at:
+            return
+        self.router.next_explanation_at = now + EXPLANATION_INTERVAL_S
         each = self.candidate
         line = logs.event(
             "late-first-piece",
--- a/plumline/router/router_state.py
+++ b/plumline/router/router_state.py
@@ -106,6 +106,7 @@
         #: Set once a configuration and endpoints are known, for the first time in this process's life.
         self.equipped = asyncio.Event()
         self.started_at = clock()
+        self.next_explanation_at = 0.0  # steady s: no log line explains a choice before
         self.told("configuration")
         self.told("endpoints")
         fleet.watchers.append(self.told)
