--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -4,8 +4,8 @@
 
 import h11
 
-from plumline import logs
 from plumline.prefix_cache.index import Placement
+from plumline.router.choice_report import count_rereading, report_if_late
 from plumline.router.progress import RESPONSE_MARGIN_S, RETRY_AFTER_RANGE_S, Proof
 from plumline.router.relay import (
     LONGEST_END,
@@ -19,7 +19,7 @@
     value_of,
 )
 from plumline.router.router_state import address_text
-from plumline.router.selection import Picked, Selection
+from plumline.router.selection import EndpointChoice, Selection
 from plumline.router.upstream import (
     UpstreamConnectError,
     UpstreamConnection,
@@ -32,14 +32,11 @@
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.outcomes import Call
 
-log = logs.logger("dispatch")
-
-EXPLANATION_INTERVAL_S = 10.0  # between two log lines that explain a late first piece
 SHUNNED = 1.0  # s without sends to an endpoint whose weights turned out to be others than known
 PROMISES = frozenset((408, 421, 429, 503))  # a client takes these for 'has not run and never will'
 
 
-async def attempt(selection: Selection, picked: Picked) -> Proof:
+async def attempt(selection: Selection, picked: EndpointChoice) -> Proof:
     """One send, its answer, and what its end says of the endpoint's health."""
     router, request, endpoint = selection.router, selection.request, picked.endpoint
     prompt, progress = request.prompt, selection.progress
@@ -50,8 +47,8 @@
         load.unread += picked.candidate.missing
     read_ms = expected_ms(reading_of(picked.candidate))
     router.shares.sent(request.service, request.owner, prompt.tokens / picked.candidate.read_rate, read_ms)
-    if lanes := router.lanes.get(request.service):
-        lanes.work.add(router.clock(), read_ms + prompt.work_ms, prompt.long)
+    if queue_classes := router.queue_classes.get(request.service):
+        queue_classes.work.add(router.clock(), read_ms + prompt.work_ms, prompt.long)
     send = Send(selection, picked, load, call)
     try:
         return await send.run()
@@ -72,7 +69,7 @@
 class Send:
     """One try at one endpoint."""
 
-    def __init__(self, selection: Selection, picked: Picked, load: Load, call: Call) -> None:
+    def __init__(self, selection: Selection, picked: EndpointChoice, load: Load, call: Call) -> None:
         self.selection, self.router = selection, selection.router
         self.request, self.progress = selection.request, selection.progress
         self.endpoint, self.salt, self.candidate = picked.endpoint, picked.salt, picked.candidate
@@ -113,27 +110,13 @@
             self.saves = address if self.worth_saving(address) else ""
         self.number = next(router.serials)
         missing = float(self.candidate.missing - self.candidate.movable)
-        self.count_reread()
+        count_rereading(router, self.salt.text, prompt.parts[:-1], self.candidate)
         now = router.clock()
         placement = Placement(self.endpoint.id, self.salt.text, prompt.parts, missing, self.saves, now)
         router.index.placed((router.node, self.number), placement)
         parts = [list(each) for each in prompt.parts]
         router.tell(["placed", self.number, self.endpoint.id, self.salt.text, parts, missing, self.saves])
 
-    def count_reread(self) -> None:
-        """Counts the tokens of shared parts that will be read though somebody has read them, by why."""
-        if not (tokens := round(self.candidate.again)):
-            return
-        router, shared = self.router, self.request.prompt.parts[:-1]
-        assert self.salt is not None
-        if any(router.index.kept(each, self.salt.text, shared) for each in router.index.keeps):
-            name = "reread-tokens.kept-elsewhere"
-        elif any(router.index.is_being_read(self.salt.text, part) for part in shared):
-            name = "reread-tokens.being-read-elsewhere"
-        else:
-            name = "reread-tokens.kept-nowhere"
-        router.counters.add(name, tokens)
-
     def count(self, name: str) -> None:
         """One more send that ended so."""
         self.router.counters.add(f"send-{name}")
@@ -409,35 +392,7 @@
         self.load.first_piece(now, excess_ms)
         self.router.shares.ended(self.request.service, excess_ms > self.request.route.latency_target_ms / 2)
         if self.request.prompt.long:
-            self.explain_if_late(now, took_ms)
-
-    def explain_if_late(self, now: float, took_ms: float) -> None:
-        """Logs, for a sample of them, what a choice was made on whose first piece came after the target."""
-        total_ms = (now - self.request.exchange.began) * 1000
-        if total_ms <= self.request.route.latency_target_ms:
-            return
-        self.router.counters.add("request-late-first-piece")
-        if now < self.router.next_explanation_at:
-            return
-        self.router.next_explanation_at = now + EXPLANATION_INTERVAL_S
-        each = self.candidate
-        line = logs.event(
-            "late-first-piece",
-            endpoint=each.id,
-            total_ms=round(total_ms),
-            took_ms=round(took_ms),
-            expected_ms=round(expected_ms(each)),
-            tokens=self.request.prompt.tokens,
-            missing=round(each.missing),
-            movable=round(each.movable),
-            moved_ms=round(each.moved_ms),
-            unread=round(each.unread),
-            running=each.running,
-            excess_ms=round(each.excess_ms),
-            again=round(each.again),
-            read_rate=round(each.read_rate, 1),
-        )
-        log.info(line)
+            report_if_late(self.router, self.request, self.candidate, now, took_ms)
 
     def keep(self, connection: UpstreamConnection, headers: Headers) -> None:
         """Gives the connection back for as long as the answer allows."""
--- /dev/null
+++ b/plumline/router/choice_report.py
@@ -0,0 +1,58 @@
+"""What operators are told of choices: why parts are read again, and why first pieces are late."""
+
+from collections.abc import Sequence
+
+from plumline import logs
+from plumline.prefix_cache.blocks import PrefixBlock
+from plumline.router.admission import Request
+from plumline.router.router_state import RouterState
+from plumline.routing.endpoint_scoring import Candidate, expected_ms
+
+REPORT_INTERVAL_S = 10.0  # between two log lines that explain a late first piece
+
+log = logs.logger("dispatch")
+
+
+def count_rereading(router: RouterState, salt: str, shared: Sequence[PrefixBlock], chosen: Candidate) -> None:
+    """Counts the tokens of shared parts that will be read though somebody has read them, by why."""
+    if not (tokens := round(chosen.again)):
+        return
+    index = router.index
+    if any(index.kept(endpoint, salt, shared) for endpoint in index.keeps):
+        name = "reread-tokens.kept-elsewhere"
+    elif any(index.is_being_read(salt, part) for part in shared):
+        name = "reread-tokens.being-read-elsewhere"
+    else:
+        name = "reread-tokens.kept-nowhere"
+    router.counters.add(name, tokens)
+
+
+def report_if_late(
+    router: RouterState, request: Request, chosen: Candidate, now: float, took_ms: float
+) -> None:
+    """Counts a first piece that came after the route's target, and logs for a sample of them what the choice
+    was made on. `now`: steady s; `took_ms`: since the request was sent to the endpoint."""
+    total_ms = (now - request.exchange.began) * 1000
+    if total_ms <= request.route.latency_target_ms:
+        return
+    router.counters.add("request-late-first-piece")
+    if now < router.next_late_report_at:
+        return
+    router.next_late_report_at = now + REPORT_INTERVAL_S
+    line = logs.event(
+        "late-first-piece",
+        endpoint=chosen.id,
+        total_ms=round(total_ms),
+        took_ms=round(took_ms),
+        expected_ms=round(expected_ms(chosen)),
+        tokens=request.prompt.tokens,
+        missing=round(chosen.missing),
+        movable=round(chosen.movable),
+        moved_ms=round(chosen.moved_ms),
+        unread=round(chosen.unread),
+        running=chosen.running,
+        excess_ms=round(chosen.excess_ms),
+        again=round(chosen.again),
+        read_rate=round(chosen.read_rate, 1),
+    )
+    log.info(line)
--- a/plumline/router/request_handler.py
+++ b/plumline/router/request_handler.py
@@ -9,7 +9,7 @@
 from plumline.router.progress import RESPONSE_MARGIN_S, RETRY_AFTER_RANGE_S, Progress, Proof
 from plumline.router.relay import Headers, value_of
 from plumline.router.router_state import RouterState
-from plumline.router.selection import Picked, Selection
+from plumline.router.selection import EndpointChoice, Selection
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.reserved_quota import CALM
 from plumline.wire.exchange import Exchange
@@ -156,7 +156,7 @@
             progress.may_have_run |= proof is Proof.MAY_HAVE_RUN
         self.give_up()
 
-    def pauses_for_reading(self, selection: Selection, picked: Picked, now: float) -> bool:
+    def pauses_for_reading(self, selection: Selection, picked: EndpointChoice, now: float) -> bool:
         """Whether the request waits on while another prompt's reading of its shared part goes on."""
         if not selection.awaits_reading(picked):
             return False
--- a/plumline/router/router_state.py
+++ b/plumline/router/router_state.py
@@ -1,5 +1,5 @@
-"""What a router knows of the fleet and what its requests share: loads, the index of prompts, lanes, stores,
-versions, shares; and how the fleet's news changes them."""
+"""What a router knows of the fleet and what its requests share: loads, the prefix cache index, queue classes,
+stores, versions, shares; and how the fleet's news changes them."""
 
 import asyncio
 import itertools
@@ -96,7 +96,7 @@
         self.shares = Shares(self.surge)
         self.shortest_latency_targets: dict[str, float] = {}  # ms, by service
         self.by_service: dict[str, list[Endpoint]] = {}
-        self.lanes: dict[str, QueueClasses] = {}  # by service
+        self.queue_classes: dict[str, QueueClasses] = {}  # by service
         # By endpoint id:
         self.models: dict[str, dict[str, int]] = {}  # weights, as listed
         self.loads: dict[str, Load] = {}
@@ -106,7 +106,7 @@
         #: Set once a configuration and endpoints are known, for the first time in this process's life.
         self.equipped = asyncio.Event()
         self.started_at = clock()
-        self.next_explanation_at = 0.0  # steady s: no log line explains a choice before
+        self.next_late_report_at = 0.0  # steady s: no log line explains a late first piece before
         self.told("configuration")
         self.told("endpoints")
         fleet.watchers.append(self.told)
@@ -158,10 +158,12 @@
         counts: dict[str, int] = {}
         for service, endpoints in self.by_service.items():
             usable = [each.id for each in endpoints if not (each.draining or each.moving)]
-            self.lanes.setdefault(service, QueueClasses()).set_endpoints(service, usable)
+            self.queue_classes.setdefault(service, QueueClasses()).set_endpoints(service, usable)
             counts[service] = len(usable)
         self.shares.set_endpoints(counts)
-        self.lanes = {name: each for name, each in self.lanes.items() if name in self.by_service}
+        self.queue_classes = {
+            name: each for name, each in self.queue_classes.items() if name in self.by_service
+        }
         for service, endpoints in self.by_service.items():
             self.read_rates_of(service).retain(each.id for each in endpoints)
         self.read_rates = {name: each for name, each in self.read_rates.items() if name in self.by_service}
@@ -180,7 +182,7 @@
         ask for where shares are reserved."""
         now = self.clock()
         found: dict[str, list[Any]] = {}
-        for name, each in self.lanes.items():
+        for name, each in self.queue_classes.items():
             found[name] = [round(rate, 1) for rate in each.work.rates(now)]
             if (demand := self.shares.demand(now, name)) is not None:
                 found[name].append(demand)
@@ -189,8 +191,8 @@
     def told_work(self, work: dict[str, list[Any]]) -> None:
         """The whole fleet's."""
         for name, (short, long, *demand) in work.items():
-            if lanes := self.lanes.get(name):
-                lanes.fleet = short, long
+            if queue_classes := self.queue_classes.get(name):
+                queue_classes.fleet = short, long
             if demand:
                 self.shares.take(self.clock(), name, demand[0])
 
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(slots=True)
-class Picked:
+class EndpointChoice:
     """An endpoint that may be sent the request, and what that would cost."""
 
     endpoint: Endpoint
@@ -30,7 +30,7 @@
 
 
 @dataclass(slots=True)
-class Look:
+class ChoiceContext:
     """What holds for all endpoints during one choice."""
 
     now: float
@@ -49,7 +49,7 @@
         self.shared = request.prompt.parts[:-1]
         self.shared_tokens = size_of(self.shared)
 
-    def pick(self, now: float) -> tuple[Picked | None, float]:
+    def pick(self, now: float) -> tuple[EndpointChoice | None, float]:
         """The endpoint to send to; if there is none, s until one may be ready (infinite: not by waiting)."""
         router = self.router
         endpoints = router.by_service.get(self.request.service, ())
@@ -58,15 +58,15 @@
         router.index.age(now)
         look = self.look(now)
         wait = math.inf
-        found: dict[str, Picked] = {}
+        found: dict[str, EndpointChoice] = {}
         for endpoint in endpoints:
             if (ready := self.ready_in(endpoint, look)) > 0:
                 wait = min(wait, ready)
             elif not self.memory_is_full(endpoint):
                 salt = self.salt_at(endpoint, look)
-                found[endpoint.id] = Picked(endpoint, salt, self.candidate(endpoint, salt, look))
+                found[endpoint.id] = EndpointChoice(endpoint, salt, self.candidate(endpoint, salt, look))
         candidates = [each.candidate for each in found.values()]
-        self.add_lane_costs(candidates, now)
+        self.add_queue_class_costs(candidates, now)
         best = choose(candidates, router.chance)
         if best is None:
             return None, wait
@@ -76,17 +76,17 @@
             return None, wait
         return found[best.id], 0.0
 
-    def look(self, now: float) -> Look:
+    def look(self, now: float) -> ChoiceContext:
         """What this choice needs to know once."""
         router, parts = self.router, self.request.prompt.parts
         most = LEAST_CONNECTIONS
         if self.service:
             most = max(self.service.connection_limit // max(router.fleet.routers, 1), most)
-        return Look(now, most, router.store_for(parts) if parts else None)
+        return ChoiceContext(now, most, router.store_for(parts) if parts else None)
 
     # Who may be sent it.
 
-    def ready_in(self, endpoint: Endpoint, look: Look) -> float:
+    def ready_in(self, endpoint: Endpoint, look: ChoiceContext) -> float:
         """S until the endpoint may be sent the request; 0: now, infinite: not by waiting."""
         router, key, model = self.router, endpoint.id, self.request.prompt.model
         if endpoint.draining or endpoint.moving or key in self.progress.attempted or key in router.gone:
@@ -116,7 +116,7 @@
             self.router.counters.add("request-memory-full")
         return full
 
-    def salt_at(self, endpoint: Endpoint, look: Look) -> Salt | None:
+    def salt_at(self, endpoint: Endpoint, look: ChoiceContext) -> Salt | None:
         """The salt for the version of the weights there; None where that is not known."""
         router, model = self.router, self.request.prompt.model
         version = router.version_at(endpoint, model) if model else None
@@ -130,8 +130,8 @@
 
     # What each would cost.
 
-    def candidate(self, endpoint: Endpoint, salt: Salt | None, look: Look) -> Candidate:
-        """The endpoint as this request sees it, but for the lanes."""
+    def candidate(self, endpoint: Endpoint, salt: Salt | None, look: ChoiceContext) -> Candidate:
+        """The endpoint as this request sees it, but for what its queue class costs."""
         router, prompt = self.router, self.request.prompt
         load = router.load(endpoint.id)
         rates = router.read_rates_of(self.request.service)
@@ -165,7 +165,7 @@
         return router.affinity.kept(salt.text, prompt.parts, endpoint.id, now)
 
     def fetch_to(
-        self, endpoint: Endpoint, salt: Salt | None, kept: int, read_rate: float, look: Look
+        self, endpoint: Endpoint, salt: Salt | None, kept: int, read_rate: float, look: ChoiceContext
     ) -> Fetch | None:
         """The best move of shared parts to the endpoint; None where none is faster than to read them."""
         service = self.service
@@ -190,7 +190,7 @@
             return 0.0
         return max(self.router.index.read_before(salt.text, self.shared) - spared, 0.0)
 
-    def holders_of(self, salt: Salt, service: Service, look: Look) -> list[Holder]:
+    def holders_of(self, salt: Salt, service: Service, look: ChoiceContext) -> list[Holder]:
         """Who is known to hold a beginning of this prompt's shared parts: endpoints and the store."""
         if (found := look.holders.get(salt.text)) is not None:
             return found
@@ -212,27 +212,27 @@
             return self.router.index.store(address_text(store)).held(salt.text, self.shared)
         return self.router.affinity.seen(salt.text, self.shared)
 
-    def add_lane_costs(self, candidates: list[Candidate], now: float) -> None:
+    def add_queue_class_costs(self, candidates: list[Candidate], now: float) -> None:
         """What sending the request to each costs the requests of its lane, or away from its home."""
         router, prompt = self.router, self.request.prompt
-        lanes = router.lanes.get(self.request.service)
-        if not lanes or not prompt.model:
+        queue_classes = router.queue_classes.get(self.request.service)
+        if not queue_classes or not prompt.model:
             return
-        if lanes.fleet == (0.0, 0.0):  # nobody told yet: as if all routers had what this one has
+        if queue_classes.fleet == (0.0, 0.0):  # nobody told yet: as if all routers had what this one has
             routers = max(router.fleet.routers, 1)
-            short, long = lanes.work.rates(now)
-            lanes.fleet = short * routers, long * routers
-        home = lanes.home(prompt.parts, prompt.long)
+            short, long = queue_classes.work.rates(now)
+            queue_classes.fleet = short * routers, long * routers
+        home = queue_classes.home(prompt.parts, prompt.long)
         reading_ms = router.read_rates_of(self.request.service).typical_reading_ms()
         away_ms = reading_ms * (AWAY_SHARE if prompt.long else SHORT_AWAY_SHARE)
         for each in candidates:
-            each.astray_ms = lanes.astray_ms(each.id, prompt.long, reading_ms)
+            each.astray_ms = queue_classes.astray_ms(each.id, prompt.long, reading_ms)
             if home is not None and each.id != home:
                 each.astray_ms += away_ms
 
     # Whether it is worth sending, and now.
 
-    def awaits_reading(self, picked: Picked) -> bool:
+    def awaits_reading(self, picked: EndpointChoice) -> bool:
         """Whether the endpoint would read shared parts that are being read just now, there or elsewhere.
 
         An endpoint that is sent two prompts with one shared part while it keeps that part for neither reads
--- a/plumline/routing/queue_classes.py
+++ b/plumline/routing/queue_classes.py
@@ -67,7 +67,7 @@
 
 @dataclass(slots=True)
 class QueueClasses:
-    """The lanes of one service. `fleet` are the rates of all routers together, the same for each of them."""
+    """The queue classes of one service. `fleet`: the rates of all routers together, the same for each."""
 
     work: Work = field(default_factory=Work)
     fleet: Rates = (0.0, 0.0)
--- a/tests/test_prefix_cache_index.py
+++ b/tests/test_prefix_cache_index.py
@@ -1,4 +1,4 @@
-"""The index of kept prompts, the lanes and the sources: pure parts, held against plain models."""
+"""The index of kept prompts, the queue classes and the sources: pure parts, held against plain models."""
 
 import math
 from collections import OrderedDict
@@ -154,24 +154,24 @@
     assert fetch(Holder(B, "z1", 60, 1_100_000)) is None
 
 
-def lanes(count: int, short: float, long: float) -> QueueClasses:
+def queue_classes_of(count: int, short: float, long: float) -> QueueClasses:
     found = QueueClasses(fleet=(short, long))
     found.set_endpoints("service", [f"e{n}" for n in range(count)])
     return found
 
 
-def test_lanes_leave_short_requests_what_they_need_and_one_for_each_at_least() -> None:
-    assert lanes(6, 0.0, 900.0).split() == 6
-    assert lanes(6, 900.0, 0.0).split() == 6
-    assert lanes(6, SHORT_USE * 2000, 900.0).split() == 4
-    assert lanes(6, 1.0, 900.0).split() == 5
-    assert lanes(6, 99_000.0, 900.0).split() == 1
-    assert lanes(1, 99.0, 900.0).split() == 1
-    assert lanes(0, 99.0, 900.0).split() == 0
+def test_queue_classes_leave_short_requests_what_they_need_and_one_for_each_at_least() -> None:
+    assert queue_classes_of(6, 0.0, 900.0).split() == 6
+    assert queue_classes_of(6, 900.0, 0.0).split() == 6
+    assert queue_classes_of(6, SHORT_USE * 2000, 900.0).split() == 4
+    assert queue_classes_of(6, 1.0, 900.0).split() == 5
+    assert queue_classes_of(6, 99_000.0, 900.0).split() == 1
+    assert queue_classes_of(1, 99.0, 900.0).split() == 1
+    assert queue_classes_of(0, 99.0, 900.0).split() == 0
 
 
 def test_all_routers_order_alike_and_a_request_in_its_lane_costs_nothing_more() -> None:
-    one, other = lanes(6, 500.0, 900.0), lanes(6, 500.0, 900.0)
+    one, other = queue_classes_of(6, 500.0, 900.0), queue_classes_of(6, 500.0, 900.0)
     other.set_endpoints("service", reversed(one.order))
     assert one.order == other.order
     split = one.split()
@@ -185,7 +185,7 @@
 @settings(max_examples=100, deadline=None)
 @given(st.integers(2, 12), st.text(min_size=1, max_size=8))
 def test_a_home_is_in_the_long_lane_and_moves_only_if_it_leaves(count: int, part: str) -> None:
-    found = lanes(count, 1.0, 900.0)
+    found = queue_classes_of(count, 1.0, 900.0)
     parts = [("system", 8), (part, 90), ("own", 9)]
     home = found.home(parts, long=True)
     assert home in found.order[: found.split()]
