--- a/plumline/router/request_handler.py
+++ b/plumline/router/request_handler.py
@@ -17,6 +17,7 @@
 #: Of the aim: how long a request may wait, in all, while others' prompts with its shared part are read. Sent
 #: at once it would be read beside them, and be no earlier.
 MAX_READING_WAIT_SHARE = 1 / 2
+MAX_READING_WAIT_S = 1.0  # the same, whatever the aim is
 READING_POLL_S = 0.005  # between two looks whether that is over
 STARTING_S = 3.0  # from a process's start: what it does not know by then may be long in coming
 MAX_START_WAIT_S = 1.0  # that a request waits for what a process that has just started lacks
@@ -163,8 +164,8 @@
         if self.reading_wait_began is None:
             self.count("waited-for-reading")
             self.reading_wait_began = now
-        longest_s = selection.request.route.latency_target_ms / 1000 * MAX_READING_WAIT_SHARE
-        return now - self.reading_wait_began < longest_s
+        share_s = selection.request.route.latency_target_ms / 1000 * MAX_READING_WAIT_SHARE
+        return now - self.reading_wait_began < min(share_s, MAX_READING_WAIT_S)
 
     # Answers of our own.
 
