--- a/plumline/router/admission.py
+++ b/plumline/router/admission.py
@@ -7,7 +7,7 @@
 from plumline.prefix_cache.blocks import PrefixBlock, output_tokens, parse_parts, prompt_tokens, size_of
 from plumline.router.relay import Headers, request_headers, value_of
 from plumline.router.router_state import RouterState
-from plumline.routing.queue_classes import OUTPUT_WEIGHT, is_long
+from plumline.routing.prefix_homes import OUTPUT_WEIGHT, is_long
 from plumline.routing.reserved_quota import Standing, priority
 from plumline.wire.exchange import Exchange
 from plumline.wire.http import decimal
--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -47,8 +47,8 @@
         load.unread += picked.candidate.missing
     read_ms = expected_ms(reading_of(picked.candidate))
     router.shares.sent(request.service, request.owner, prompt.tokens / picked.candidate.read_rate, read_ms)
-    if queue_classes := router.queue_classes.get(request.service):
-        queue_classes.work.add(router.clock(), read_ms + prompt.work_ms, prompt.long)
+    if homes := router.prefix_homes.get(request.service):
+        homes.work.add(router.clock(), read_ms + prompt.work_ms, prompt.long)
     send = Send(selection, picked, load, call)
     try:
         return await send.run()
--- a/plumline/router/router_state.py
+++ b/plumline/router/router_state.py
@@ -1,4 +1,4 @@
-"""What a router knows of the fleet and what its requests share: loads, the prefix cache index, queue classes,
+"""What a router knows of the fleet and what its requests share: loads, the prefix cache index, prefix homes,
 stores, versions, shares; and how the fleet's news changes them."""
 
 import asyncio
@@ -24,7 +24,7 @@
 from plumline.routing.fleet import Address, Endpoint, Fleet
 from plumline.routing.fleet_state import StoreStatus
 from plumline.routing.outcomes import Outcomes, store_key
-from plumline.routing.queue_classes import QueueClasses
+from plumline.routing.prefix_homes import PrefixHomes
 from plumline.routing.read_rates import ServiceReadRates
 from plumline.routing.reserved_quota import Shares
 from plumline.settings import Settings
@@ -96,7 +96,7 @@
         self.shares = Shares(self.surge)
         self.shortest_latency_targets: dict[str, float] = {}  # ms, by service
         self.by_service: dict[str, list[Endpoint]] = {}
-        self.queue_classes: dict[str, QueueClasses] = {}  # by service
+        self.prefix_homes: dict[str, PrefixHomes] = {}  # by service
         # By endpoint id:
         self.models: dict[str, dict[str, int]] = {}  # weights, as listed
         self.loads: dict[str, Load] = {}
@@ -154,15 +154,15 @@
                 del known[key]
 
     def set_usable(self) -> None:
-        """QueueClasses and shares reckon with the endpoints that take requests."""
+        """PrefixHomes and shares reckon with the endpoints that take requests."""
         counts: dict[str, int] = {}
         for service, endpoints in self.by_service.items():
             usable = [each.id for each in endpoints if not (each.draining or each.moving)]
-            self.queue_classes.setdefault(service, QueueClasses()).set_endpoints(service, usable)
+            self.prefix_homes.setdefault(service, PrefixHomes()).set_endpoints(usable)
             counts[service] = len(usable)
         self.shares.set_endpoints(counts)
-        self.queue_classes = {
-            name: each for name, each in self.queue_classes.items() if name in self.by_service
+        self.prefix_homes = {
+            name: each for name, each in self.prefix_homes.items() if name in self.by_service
         }
         for service, endpoints in self.by_service.items():
             self.read_rates_of(service).retain(each.id for each in endpoints)
@@ -182,7 +182,7 @@
         ask for where shares are reserved."""
         now = self.clock()
         found: dict[str, list[Any]] = {}
-        for name, each in self.queue_classes.items():
+        for name, each in self.prefix_homes.items():
             found[name] = [round(rate, 1) for rate in each.work.rates(now)]
             if (demand := self.shares.demand(now, name)) is not None:
                 found[name].append(demand)
@@ -190,9 +190,7 @@
 
     def told_work(self, work: dict[str, list[Any]]) -> None:
         """The whole fleet's."""
-        for name, (short, long, *demand) in work.items():
-            if queue_classes := self.queue_classes.get(name):
-                queue_classes.fleet = short, long
+        for name, (_, _, *demand) in work.items():
             if demand:
                 self.shares.take(self.clock(), name, demand[0])
 
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -13,7 +13,7 @@
 from plumline.routing.fleet import Address, Endpoint
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.prefix_fetch import Fetch, Holder, best_fetch, may_gain
-from plumline.routing.queue_classes import AWAY_SHARE, SHORT_AWAY_SHARE
+from plumline.routing.prefix_homes import AWAY_SHARE, SHORT_AWAY_SHARE
 
 LEAST_CONNECTIONS = 2  # to an endpoint, however many routers share its limit
 SILENCE_SHARE = 0.8  # of the silence that a client bears, in which a first piece must be expected
@@ -66,7 +66,7 @@
                 salt = self.salt_at(endpoint, look)
                 found[endpoint.id] = EndpointChoice(endpoint, salt, self.candidate(endpoint, salt, look))
         candidates = [each.candidate for each in found.values()]
-        self.add_queue_class_costs(candidates, now)
+        self.add_away_costs(candidates)
         best = choose(candidates, router.chance)
         if best is None:
             return None, wait
@@ -131,7 +131,7 @@
     # What each would cost.
 
     def candidate(self, endpoint: Endpoint, salt: Salt | None, look: ChoiceContext) -> Candidate:
-        """The endpoint as this request sees it, but for what its queue class costs."""
+        """The endpoint as this request sees it, but for what it costs to be away from its home."""
         router, prompt = self.router, self.request.prompt
         load = router.load(endpoint.id)
         rates = router.read_rates_of(self.request.service)
@@ -212,23 +212,17 @@
             return self.router.index.store(address_text(store)).held(salt.text, self.shared)
         return self.router.affinity.seen(salt.text, self.shared)
 
-    def add_queue_class_costs(self, candidates: list[Candidate], now: float) -> None:
-        """What sending the request to each costs the requests of its lane, or away from its home."""
+    def add_away_costs(self, candidates: list[Candidate]) -> None:
+        """What it costs to send the request elsewhere than to the home of its shared parts."""
         router, prompt = self.router, self.request.prompt
-        queue_classes = router.queue_classes.get(self.request.service)
-        if not queue_classes or not prompt.model:
+        homes = router.prefix_homes.get(self.request.service)
+        home = homes.home(prompt.parts) if homes and prompt.model else None
+        if home is None:
             return
-        if queue_classes.fleet == (0.0, 0.0):  # nobody told yet: as if all routers had what this one has
-            routers = max(router.fleet.routers, 1)
-            short, long = queue_classes.work.rates(now)
-            queue_classes.fleet = short * routers, long * routers
-        home = queue_classes.home(prompt.parts, prompt.long)
         reading_ms = router.read_rates_of(self.request.service).typical_reading_ms()
         away_ms = reading_ms * (AWAY_SHARE if prompt.long else SHORT_AWAY_SHARE)
         for each in candidates:
-            each.astray_ms = queue_classes.astray_ms(each.id, prompt.long, reading_ms)
-            if home is not None and each.id != home:
-                each.astray_ms += away_ms
+            each.away_ms = away_ms if each.id != home else 0.0
 
     # Whether it is worth sending, and now.
 
--- a/plumline/routing/endpoint_scoring.py
+++ b/plumline/routing/endpoint_scoring.py
@@ -23,7 +23,7 @@
     `unread`: prompt tokens that this router sent there and that haven't been read; `running`: this router's
     requests there; `slots`: places; `missing`: tokens of this prompt that it doesn't keep; `movable`: those
     of them that `source` holds, `moved_ms` the time to move them; `excess_ms`: lately seen beyond that;
-    `astray_ms`: what sending it there costs others, or the expected wait behind others' requests;
+    `away_ms`: what it costs that this is not the home of its shared parts;
     `read_rate`: tokens a ms that it reads; `reading_ms`: what a usual long prompt of its service takes.
     """
 
@@ -37,7 +37,7 @@
     excess_ms: float = 0.0
     same_zone: bool = True
     connected: bool = True
-    astray_ms: float = 0.0
+    away_ms: float = 0.0
     again: float = 0.0  # tokens of shared parts that would be read again
     read_rate: float = START_TOKENS_PER_MS
     reading_ms: float = START_READING_MS
@@ -60,7 +60,7 @@
     away = ANOTHER_ZONE_MS * (not candidate.same_zone)
     new = NEW_CONNECTION_MS * (not candidate.connected)
     again = candidate.again * AGAIN_MS * MECHANISMS.reread_cost
-    return expected_ms(candidate) + candidate.astray_ms + again + away + new
+    return expected_ms(candidate) + candidate.away_ms + again + away + new
 
 
 def choose(candidates: Sequence[Candidate], chance: random.Random) -> Candidate | None:
--- a/plumline/routing/mechanisms.py
+++ b/plumline/routing/mechanisms.py
@@ -11,7 +11,6 @@
 class Mechanisms:
     """One switch a mechanism; False leaves it out."""
 
-    queue_classes: bool = True  # long prompts are kept from the endpoints that short requests need
     prefix_homes: bool = True  # a shared part has an endpoint at which it is read first
     prefix_fetch: bool = True  # shared parts are moved from endpoints and stores that hold them
     store_saves: bool = True  # shared parts are saved to a store
