--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -408,3 +408,17 @@
 def hyphenless(headers: dict[str, str]) -> dict[str, str]:
     """The headers as keyword arguments."""
     return {name.replace("-", "_"): value for name, value in headers.items()}
+
+
+def test_a_prompt_is_told_of_before_its_endpoint_is_connected_to() -> None:
+    """Behind the body the news would come late, and another router would choose the same endpoint."""
+
+    async def work() -> None:
+        peer = Peer("e0", stream(b"data: 1\n\n"))
+        router = await made(document(Kind="streaming"), peer)
+        told: list[tuple[str, int]] = []
+        router.dispatcher.tell = lambda event: told.append((event[0], peer.connections))
+        assert (await router.ask(**hyphenless(LONG)))[0] == 200
+        assert told[0] == ("placed", 0) and [kind for kind, _ in told] == ["placed", "read", "done"]
+
+    within(work())
--- a/tests/test_subscriber.py
+++ b/tests/test_subscriber.py
@@ -309,3 +309,24 @@
     assert (fleet.state.version, fleet.table.version) == (5, 5)
     feed_subscriber.close()
     registrar.close()
+
+
+@play
+async def test_a_placed_prompt_goes_to_the_primary_at_once_and_other_events_together(tmp_path: Path) -> None:
+    subscribing, _, first, second = await two_sources(Counters())
+    assert subscribing.primary is not None and subscribing.primary.link is not None
+    sent: list[list[Any]] = []
+    subscribing.primary.link.send = lambda message, **_: sent.append(message)  # type: ignore[method-assign]
+    subscribing.publish_prompt_event(["read", 1])
+    subscribing.publish_prompt_event(["done", 1])
+    assert sent == []
+    subscribing.publish_prompt_event(["placed", 2])
+    assert sent == [["news", "router-1", [["read", 1], ["done", 1], ["placed", 2]]]]
+    subscribing.publish_prompt_event(["read", 2])
+    subscribing.publish_prompt_event(["done", 2])
+    await asyncio.sleep(0)
+    await asyncio.sleep(0)
+    assert sent[1:] == [["news", "router-1", [["read", 2], ["done", 2]]]]
+    subscribing.close()
+    first.close()
+    second.close()
