--- a/tests/frozen_adapter.py
+++ b/tests/frozen_adapter.py
@@ -42,6 +42,7 @@
 from plumline.router import process as router
 from plumline.settings import from_environment
 from plumline.store.log_writers import SynchronousWriter
+from plumline.wire import frames
 
 ROOT = Path(__file__).parent.parent
 PROGRAMS = ("plumline", "elmglade")
@@ -325,3 +326,13 @@
     words = [sys.executable, "-m", SENDER]
     ended = subprocess.run(words, cwd=ROOT, env=variables, capture_output=True, timeout=60, check=False)
     return ended.returncode, ended.stderr.count(b"\n")
+
+
+def unpacked(body: bytes) -> list[Any]:
+    """The message that a frame's body is."""
+    return frames.unpack(body)
+
+
+def packed(message: list[Any]) -> bytes:
+    """The body of a message's frame."""
+    return frames.pack(message)[frames.LENGTH_BYTES :]
