Count a request at the breakers once, however often it looks for an endpoint

Cause: a prompt that waits while its shared part is read for another chooses anew every 5 ms, and each choice told the breakers of all endpoints of one more request, so that their gaps took the demand for up to 50 times as large. Change: the request is counted before its first choice. The test of the wait failed before (see it).

--- a/plumline/router/request_handler.py
+++ b/plumline/router/request_handler.py
@@ -119,6 +119,7 @@
         """Sends until one of them brought the answer, or none may follow."""
         router, progress, held = self.router, self.progress, False
         selection = Selection(router, request, progress)
+        selection.count_request(router.clock())
         route = request.route
         while True:
             now = router.clock()
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -49,12 +49,16 @@
         self.shared = request.prompt.parts[:-1]
         self.shared_tokens = size_of(self.shared)
 
+    def count_request(self, now: float) -> None:
+        """Tells the breakers of all endpoints that a request has come which could go to any of them; once for
+        each request, however often it is looked for an endpoint."""
+        endpoints = self.router.by_service.get(self.request.service, ())
+        self.router.outcomes.asked([each.id for each in endpoints], max(len(endpoints), 1), now)
+
     def pick(self, now: float) -> tuple[EndpointChoice | None, float]:
         """The endpoint to send to; if there is none, s until one may be ready (infinite: not by waiting)."""
         router = self.router
         endpoints = router.by_service.get(self.request.service, ())
-        if not self.progress.attempted:
-            router.outcomes.asked([each.id for each in endpoints], max(len(endpoints), 1), now)
         router.index.age(now)
         look = self.look(now)
         wait = math.inf
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -344,6 +344,8 @@
         slow = stream(first_piece, b"data: 1\n\n")
         peers = [Peer("e0", slow, stream(b"data: 2\n\n")), Peer("e1", slow, stream(b"data: 2\n\n"))]
         router = await made(document(Kind="streaming", TargetLatencyMs=20_000, TimeoutMs=30_000), *peers)
+        calls: list[int] = []
+        router.dispatcher.outcomes.asked = lambda keys, routes, now: calls.append(routes)  # type: ignore[method-assign]
         one = asyncio.ensure_future(router.ask(**hyphenless(LONG)))
         while not any(each.heads for each in peers):
             await asyncio.sleep(0)
@@ -351,8 +353,10 @@
         two = asyncio.ensure_future(router.ask(Attempt_Id="id-2", **hyphenless(another)))
         while not router.counters.get("request-waited-for-reading"):
             await asyncio.sleep(0)
+        asked = len(calls)
         await asyncio.sleep(4 * READING_POLL_S)
         assert sum(len(each.heads) for each in peers) == 1
+        assert len(calls) == asked == 2  # the breakers hear of each request once, however long it waits
         first_piece.set()
         assert [(await each)[0] for each in (one, two)] == [200, 200]
         assert sorted(len(each.heads) for each in peers) == [0, 2]  # there the part is kept by then
