--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -14,6 +14,7 @@
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.prefix_fetch import Fetch, Holder, best_fetch, may_gain
 from plumline.routing.prefix_homes import AWAY_SHARE, SHORT_AWAY_SHARE
+from plumline.routing.read_rates import ServiceReadRates
 
 LEAST_CONNECTIONS = 2  # to an endpoint, however many routers share its limit
 SILENCE_SHARE = 0.8  # of the silence that a client bears, in which a first piece must be expected
@@ -36,6 +37,8 @@
     now: float
     most_connections: int  # of this router to one endpoint
     store: Service | None  # that keeps this prompt's shared parts
+    rates: ServiceReadRates
+    reading_ms: float  # of a usual long prompt of the service
     salts: dict[int, Salt] = field(default_factory=dict)  # by version of the weights
     holders: dict[str, list[Holder]] = field(default_factory=dict)  # by salt
 
@@ -70,7 +73,7 @@
                 salt = self.salt_at(endpoint, look)
                 found[endpoint.id] = EndpointChoice(endpoint, salt, self.candidate(endpoint, salt, look))
         candidates = [each.candidate for each in found.values()]
-        self.add_away_costs(candidates)
+        self.add_away_costs(candidates, look)
         best = choose(candidates, router.chance)
         if best is None:
             return None, wait
@@ -86,7 +89,9 @@
         most = LEAST_CONNECTIONS
         if self.service:
             most = max(self.service.connection_limit // max(router.fleet.routers, 1), most)
-        return ChoiceContext(now, most, router.store_for(parts) if parts else None)
+        store = router.store_for(parts) if parts else None
+        rates = router.read_rates_of(self.request.service)
+        return ChoiceContext(now, most, store, rates, rates.typical_reading_ms())
 
     # Who may be sent it.
 
@@ -108,9 +113,9 @@
     def memory_is_full(self, endpoint: Endpoint) -> bool:
         """Whether a long prompt finds no room beside those that the endpoint has; an idle one takes any."""
         prompt = self.request.prompt
-        if not prompt.long or not self.service or not self.service.cache_token_capacity:
+        if not MECHANISMS.memory_limit or not prompt.long:
             return False
-        if not MECHANISMS.memory_limit:
+        if not self.service or not self.service.cache_token_capacity:
             return False
         occupied = self.router.index.occupied(endpoint.id)
         full = (
@@ -138,8 +143,7 @@
         """The endpoint as this request sees it, but for what it costs to be away from its home."""
         router, prompt = self.router, self.request.prompt
         load = router.load(endpoint.id)
-        rates = router.read_rates_of(self.request.service)
-        read_rate = rates.of(endpoint.id)
+        read_rate = look.rates.of(endpoint.id)
         kept = self.kept_at(endpoint, salt, look.now)
         fetch = self.fetch_to(endpoint, salt, kept, read_rate, look)
         return Candidate(
@@ -154,7 +158,7 @@
             same_zone=endpoint.zone == router.zone,
             connected=router.pool.has_idle(endpoint.id, look.now),
             read_rate=read_rate,
-            reading_ms=rates.typical_reading_ms(),
+            reading_ms=look.reading_ms,
             source=fetch.source if fetch else None,
             again=self.read_again(salt, kept + (fetch.tokens if fetch else 0)),
         )
@@ -216,15 +220,14 @@
             return self.router.index.store(address_text(store)).held(salt.text, self.shared)
         return self.router.affinity.seen(salt.text, self.shared)
 
-    def add_away_costs(self, candidates: list[Candidate]) -> None:
+    def add_away_costs(self, candidates: list[Candidate], look: ChoiceContext) -> None:
         """What it costs to send the request elsewhere than to the home of its shared parts."""
-        router, prompt = self.router, self.request.prompt
-        homes = router.prefix_homes.get(self.request.service)
+        prompt = self.request.prompt
+        homes = self.router.prefix_homes.get(self.request.service)
         home = homes.home(prompt.parts) if homes and prompt.model else None
         if home is None:
             return
-        reading_ms = router.read_rates_of(self.request.service).typical_reading_ms()
-        away_ms = reading_ms * (AWAY_SHARE if prompt.long else SHORT_AWAY_SHARE)
+        away_ms = look.reading_ms * (AWAY_SHARE if prompt.long else SHORT_AWAY_SHARE)
         for each in candidates:
             each.away_ms = away_ms if each.id != home else 0.0
 
