--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -76,7 +76,8 @@
         self.load, self.call = load, call
         self.unread = 0.0 if self.request.prompt.long else picked.candidate.missing
         self.number = 0  # under which the others were told of it
-        self.saves = ""
+        self.store = ""  # address of the store that may hold a long prompt's parts
+        self.saves = ""  # the same, if they are saved to it
         self.told = False
         self.began = 0.0
         self.wrote = False  # a piece of this answer's body has come
@@ -105,9 +106,10 @@
         if not prompt.long or self.salt is None:
             return
         store = router.store_for(prompt.parts) if prompt.parts else None
-        if store and store.cache_store_address and MECHANISMS.store_saves:
-            address = address_text(store.cache_store_address)
-            self.saves = address if self.worth_saving(address) else ""
+        if store and store.cache_store_address:
+            self.store = address_text(store.cache_store_address)
+            if MECHANISMS.store_saves and self.worth_saving():
+                self.saves = self.store
         self.number = next(router.serials)
         missing = float(self.candidate.missing - self.candidate.movable)
         count_rereading(router, self.salt.text, prompt.parts[:-1], self.candidate)
@@ -212,21 +214,20 @@
             else:
                 headers.append((b"cache-salt", self.salt.text.encode()))
                 headers.append((b"expect-version", b"%d" % self.salt.version))
-                store = self.router.store_for(prompt.parts) if prompt.parts else None
                 # A short request's parts are read faster than they wait for the store's link.
-                address = store.cache_store_address if store and prompt.long else None
-                if (source := self.candidate.source or address) and MECHANISMS.prefix_fetch:
-                    headers.append((b"kv-fetch", address_text(source).encode()))
+                source = address_text(self.candidate.source) if self.candidate.source else self.store
+                if source and MECHANISMS.prefix_fetch:
+                    headers.append((b"kv-fetch", source.encode()))
                 if self.saves:
                     headers.append((b"kv-save", self.saves.encode()))
         return headers
 
-    def worth_saving(self, store: str) -> bool:
+    def worth_saving(self) -> bool:
         """Whether the store may lack a shared part; saving a long prompt again would keep its link busy."""
         shared = self.request.prompt.parts[:-1]
         if self.salt is None or not shared:
             return False
-        return self.router.index.store(store).lacks(self.router.clock(), self.salt.text, shared)
+        return self.router.index.store(self.store).lacks(self.router.clock(), self.salt.text, shared)
 
     def broken(self) -> Proof:
         """The connection has ended without a whole answer."""
