--- a/plumline/router/request_handler.py
+++ b/plumline/router/request_handler.py
@@ -130,15 +130,7 @@
                 break
             picked, wait = selection.pick(now)
             if picked is None:
-                if (
-                    held
-                    or not MECHANISMS.holding
-                    or wait
-                    > min(
-                        route.latency_target_ms / 1000 * MAX_HOLD_SHARE,
-                        request.until - now - RESPONSE_MARGIN_S,
-                    )
-                ):
+                if held or wait > self.longest_hold_s(request, now):
                     progress.retry_after_s = wait if wait < float("inf") else progress.retry_after_s
                     break
                 held = True
@@ -158,6 +150,13 @@
             progress.may_have_run |= proof is Proof.MAY_HAVE_RUN
         self.give_up()
 
+    def longest_hold_s(self, request: Request, now: float) -> float:
+        """How long the request may be held for an endpoint to be ready."""
+        if not MECHANISMS.holding:
+            return 0.0
+        share_s = request.route.latency_target_ms / 1000 * MAX_HOLD_SHARE
+        return min(share_s, request.until - now - RESPONSE_MARGIN_S)
+
     def pauses_for_reading(self, selection: Selection, picked: EndpointChoice, now: float) -> bool:
         """Whether the request waits on while another prompt's reading of its shared part goes on."""
         if not selection.awaits_reading(picked):
--- a/plumline/routing/prefix_homes.py
+++ b/plumline/routing/prefix_homes.py
@@ -2,7 +2,8 @@
 
 All routers choose the same one (rendezvous hash), so that one endpoint reads a part first and the others find
 it there. Nothing is forced: to be sent elsewhere costs some ms. Beside it stands `Work`, a router's work of
-late by length of prompts, which it reports in its heartbeats.
+late by length of prompts. Its heartbeats report that, as their form needs it and routers of earlier releases
+share endpoints out by it; this release does not.
 
 Pure; times are steady seconds, work is ms of an endpoint's time.
 """
