--- a/plumline/registrar/singleton_roles.py
+++ b/plumline/registrar/singleton_roles.py
@@ -92,6 +92,7 @@
                 replicator=replicator,
                 on_published=self.rollout.wake,
             ),
+            clock,
         )
         self.cache_stores = CacheStoreMonitor(
             caller,
--- a/tests/test_registrar_process.py
+++ b/tests/test_registrar_process.py
@@ -161,3 +161,14 @@
     assert duties == []
     assert registrar.counters.get("leave.incomplete") == 0
     registrar.durable_state.close()
+
+
+@play
+async def test_all_loops_of_a_registrar_go_by_its_own_clock(tmp_path: Path) -> None:
+    """One that read the machine's clock made a day in virtual time hang on how busy the machine is."""
+    registrar = RegistrarProcess(settings_for(tmp_path))
+    roles = registrar.roles
+    for each in (roles, roles.discovery, roles.cache_stores, roles.rollout):
+        assert each.clock == registrar.loop.time
+    registrar.mesh.close()
+    registrar.durable_state.close()
