Block the process's signals in the log's writer thread

Cause of the one failure of test_process_signals beside load: block_signals blocks in the calling thread alone. Brought about by a stalled fsync in a test that fails without the change.

--- a/plumline/process_signals.py
+++ b/plumline/process_signals.py
@@ -20,7 +20,8 @@
 
 
 def block_signals() -> None:
-    """For a process that has done its last work: signals stay pending from now on, in child processes too.
+    """For a process that has done its last work, and for a thread beside its main one: signals stay pending
+    there from now on, in child processes too.
 
     The event loop takes the handlers away as it closes, and the default action would then end the process
     with the signal's status in place of 0.
--- a/plumline/store/log_writers.py
+++ b/plumline/store/log_writers.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple, Protocol
 
 from plumline.errors import StoreError
+from plumline.process_signals import block_signals
 from plumline.store.write_ahead_log import Record, WriteAheadLog
 
 RETRY_INTERVAL_S = 0.3  # between attempts to compact a failed log
@@ -149,6 +150,7 @@
             self._loop.call_soon_threadsafe(call, *args)
 
     def _run(self) -> None:
+        block_signals()  # they are the main thread's, also where this one outlives its last work
         while True:
             with self._changed:
                 self._changed.wait_for(lambda: self._batches or self._closing)
--- a/tests/test_process_signals.py
+++ b/tests/test_process_signals.py
@@ -40,3 +40,14 @@
     command = [sys.executable, "-c", SCRIPT, role, str(tmp_path), str(port)]
     ended = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=30)
     assert (ended.returncode, ended.stdout) == (0, b"ended in order\n")
+
+
+def test_a_signal_does_not_end_a_process_by_way_of_a_thread_that_waits_for_a_stalled_disk(
+    tmp_path: Path,
+) -> None:
+    """Told to end before its first record is synced, a registrar leaves its writer's thread behind."""
+    stalled = "import os, time\nos.fsync = os.fdatasync = lambda file: time.sleep(5)\n" + SCRIPT
+    port = Ports.free(["127.0.0.1"]).internal
+    command = [sys.executable, "-c", stalled, "registrar", str(tmp_path), str(port)]
+    ended = subprocess.run(command, cwd=ROOT, capture_output=True, timeout=30)
+    assert (ended.returncode, ended.stdout) == (0, b"ended in order\n")
