--- a/plumline/coordination/catch_up.py
+++ b/plumline/coordination/catch_up.py
@@ -36,12 +36,14 @@
     def __init__(self, environment: Environment, storage: ReplicaStorage[Any]) -> None:
         self._environment, self._storage = environment, storage
         self._role = ChainRole.without_view()
+        self._serves_learners = False
         self._now = 0.0
         self._snapshots = SnapshotSender(self._current_state, self._log_continues_from)
 
-    def begin_view(self, role: ChainRole) -> None:
-        """Serve in a newer view."""
-        self._role = role
+    def begin_view(self, role: ChainRole, *, activated: bool) -> None:
+        """Serve in a newer view, learners only once it is activated: they may be sources of its base, which
+        keep what they hold until then."""
+        self._role, self._serves_learners = role, activated
 
     def tick(self, now: float) -> None:
         """Take in the time and free a snapshot that nobody requests."""
@@ -50,6 +52,8 @@
 
     def on_entries_request(self, sender: str, request: EntriesRequest) -> None:
         """Send the next batch, or the start of a snapshot if the log does not reach back so far."""
+        if not self._serves_learners:
+            return
         committed_index = self._storage.committed_index
         after = request.after_index
         if after < committed_index and not self._storage.log.continues_from(after):
@@ -62,7 +66,9 @@
         self._environment.send(sender, batch.to_wire())
 
     def on_snapshot_request(self, sender: str, request: ChunkRequest) -> None:
-        """Send a chunk of a snapshot."""
+        """Send a chunk of a snapshot, to a learner or to the successor."""
+        if not self._serves_learners and sender != self._role.successor:
+            return
         chunk = self._snapshots.chunk_for(self._now, request)
         data = SnapshotData(self._role.view_number, chunk.to_wire())
         self._environment.send(sender, data.to_wire())
--- a/plumline/coordination/chain_records.py
+++ b/plumline/coordination/chain_records.py
@@ -61,7 +61,21 @@
         return ["drop", self.after_index]
 
 
-ChainRecord = SnapshotRecord | EntryRecord | CaughtUpRecord | DiscardPendingRecord | DiscardRecord
+class RollbackRecord(NamedTuple):
+    """The replica has taken on its role in a view with a base, and rolled its log back for it."""
+
+    view_number: int
+    base_number: int
+    index: int  # of the newest entry that it held on its disk as it left the base
+
+    def to_wire(self) -> Record:
+        """Return the stored form."""
+        return ["rollback", *self]
+
+
+ChainRecord = (
+    SnapshotRecord | EntryRecord | CaughtUpRecord | DiscardPendingRecord | DiscardRecord | RollbackRecord
+)
 
 
 def decode_record(record: Record) -> ChainRecord | None:
@@ -77,4 +91,6 @@
             return DiscardPendingRecord()
         case ["drop", int(after_index)]:
             return DiscardRecord(after_index)
+        case ["rollback", int(view_number), int(base_number), int(index)]:
+            return RollbackRecord(view_number, base_number, index)
     return None
--- a/plumline/coordination/core.py
+++ b/plumline/coordination/core.py
@@ -11,6 +11,7 @@
 from typing import Any, Generic, Protocol
 
 from plumline.coordination.bootstrap import Bootstrap
+from plumline.coordination.chain_planner import LocalReplica
 from plumline.coordination.environment import Environment, Member, Message, Record
 from plumline.coordination.failure_detector import (
     PING_KIND,
@@ -27,12 +28,13 @@
     Send,
 )
 from plumline.coordination.log import Change
-from plumline.coordination.membership import LocalReplica, MembershipReconciler, PendingHandover
+from plumline.coordination.membership import MembershipReconciler, PendingHandover
 from plumline.coordination.read_barrier import ViewCheck
 from plumline.coordination.replica_status import LocalStatus
 from plumline.coordination.replica_storage import State
 from plumline.coordination.replication import ChainReplica
 from plumline.coordination.view import View
+from plumline.coordination.view_activation import ViewActivation
 from plumline.coordination.view_agreement import ViewAgreement
 from plumline.coordination.view_messages import RECORD_KINDS as VIEW_RECORD_KINDS
 
@@ -81,6 +83,7 @@
         self._observer, self._lease_names = observer, tuple(config.leases)
         self._now = 0.0  # of the newest step
         self.view_agreement = ViewAgreement(member, environment, self._on_view_installed)
+        self.view_activation = ViewActivation(environment)
         self.chain = ChainReplica(
             member,
             config.replicas_needed,
@@ -140,15 +143,33 @@
         self.bootstrap.tick(now)
         view = self.view_agreement.view
         self.failure_detector.tick(now, self._local_status(view))
-        replica = LocalReplica(self.chain.synced_index, self.chain.committed_index, self.chain.caught_up)
-        self.membership.reconcile(now, replica)
+        self.membership.reconcile(now, self._local_replica())
         self.chain.tick(now)
+        self._activate_view()
         self.lease_election.tick(now)
         self._perform_lease_actions()
         if view is not None:
             named = {member.address for member in (*view.acceptors, *view.chain)} | set(self.seeds)
             self.failure_detector.remove_unresponsive_peers(now, named)
 
+    def _local_replica(self) -> LocalReplica:
+        return LocalReplica(
+            self.chain.synced_index,
+            self.chain.committed_index,
+            self.chain.caught_up,
+            activated=self.chain.activated,
+            known_complete=self.view_agreement.activated,
+            activation_refused=self.view_activation.refused,
+        )
+
+    def _activate_view(self) -> None:
+        """As the tail: activates the view once the chain holds all that was committed before it."""
+        if self.chain.activated or not self.chain.holds_all_committed():
+            return
+        self.view_activation.request(self._now)
+        if self.view_activation.is_activated():
+            self.chain.on_view_activated()
+
     def _local_status(self, view: View | None) -> LocalStatus:
         synced = self.chain.synced_index
         if self.chain.role.is_learner():  # what is beyond that may be discarded
@@ -163,6 +184,7 @@
         )
 
     def _on_view_installed(self, view: View) -> None:
+        self.view_activation.begin_view(view)
         self.chain.install_view(view)
         for member in (*view.acceptors, *view.chain):
             self.failure_detector.add_peer(self._now, member.address)
@@ -186,7 +208,10 @@
         if self.view_agreement.on_message(sender, message):
             self._stop_granting_superseded_leases()
             return True
-        if self.chain.on_message(sender, message) or self.bootstrap.on_message(sender, message):
+        if self.chain.on_message(sender, message) or self.view_activation.on_message(sender, message):
+            self._activate_view()
+            return True
+        if self.bootstrap.on_message(sender, message):
             return True
         if message[0] == LEASE_MESSAGE_KIND:
             self.lease_election.on_message(now, sender, message[1:])
--- a/plumline/coordination/failure_detector.py
+++ b/plumline/coordination/failure_detector.py
@@ -9,12 +9,20 @@
 
 import secrets
 from dataclasses import dataclass
+from typing import Any
 
 from plumline.coordination.environment import Environment, Member, Message
 from plumline.coordination.replica_status import LocalStatus, ReplicaStatus
 
 PING_KIND = "ping"  # of the messages that carry a registrar's status
 PING_INTERVAL_S = 0.15
+FEATURES_KIND = "features"  # of the messages that name what a registrar's release can do
+#: Views with a base are understood, and activated.
+VIEW_ACTIVATION = "view-activation"
+LOCAL_FEATURES = (VIEW_ACTIVATION,)
+FEATURES_INTERVAL_PINGS = 6  # between two messages that name them
+#: A peer that has sent so many pings without naming its features is of a release that has none.
+MAX_PINGS_WITHOUT_FEATURES = 24
 #: Without an echo for so long a peer is suspected: above the pauses of a busy machine, well under any
 #: AcknowledgeMs.
 SUSPECT_TIMEOUT_S = 0.8
@@ -41,6 +49,8 @@
     stable_since: float = 0.0  # when it answered again after a silence
     discovered_at: float = 0.0  # when this registrar first learned of it
     disk_healthy_since: float = 0.0  # when it last reported its disk to be healthy again
+    features: frozenset[str] = frozenset()  # of its release, as it named them last
+    pings_without_features: int = 0  # received since then
 
 
 class FailureDetector:
@@ -53,6 +63,7 @@
         self._sent_at: dict[int, float] = {}  # nonce of a ping -> when it was sent
         self._nonce = secrets.randbits(48)  # so that echoes to an earlier life of this process match nothing
         self._next_ping_at = 0.0
+        self._pings_sent = 0
 
     # Peers
 
@@ -78,7 +89,11 @@
         self._sent_at[self._nonce] = now
         self._sent_at.pop(self._nonce - RETAINED_PINGS, None)
         report = local_status.to_wire()
-        for address in self.peers:
+        names_features = self._pings_sent % FEATURES_INTERVAL_PINGS == 0
+        self._pings_sent += 1
+        for address, peer in self.peers.items():
+            if names_features or not peer.features:
+                self.environment.send(address, [FEATURES_KIND, list(LOCAL_FEATURES)])
             self.environment.send(address, [PING_KIND, self._nonce, *report])
 
     def ping_soon(self) -> None:
@@ -92,6 +107,8 @@
                 self._on_ping(now, sender, nonce, message)
             case ["pong", int(nonce)]:
                 self._on_echo(now, sender, nonce)
+            case ["features", list(names)]:
+                self._on_features(now, sender, names)
             case _:
                 return False
         return True
@@ -101,6 +118,7 @@
         peer = self.peers.get(sender)
         if peer is None:
             return  # from this registrar itself
+        peer.pings_without_features += 1
         was_unhealthy = peer.disk_unhealthy
         _, _, peer.incarnation, peer.view_number, peer.last_synced, unhealthy, peer.draining, status = message
         peer.disk_unhealthy, peer.status = unhealthy, ReplicaStatus(status)
@@ -108,6 +126,12 @@
             peer.disk_healthy_since = now
         self.environment.send(sender, ["pong", nonce])
 
+    def _on_features(self, now: float, sender: str, names: list[Any]) -> None:
+        self.add_peer(now, sender)
+        if peer := self.peers.get(sender):
+            peer.features = frozenset(name for name in names if isinstance(name, str))
+            peer.pings_without_features = 0
+
     def _on_echo(self, now: float, sender: str, nonce: int) -> None:
         peer, sent_at = self.peers.get(sender), self._sent_at.get(nonce)
         if peer is None or sent_at is None:
@@ -150,6 +174,14 @@
         peer = self.peers.get(address)
         return address == self.local_member.address or (peer is not None and peer.view_number > 0)
 
+    def supports(self, address: str, feature: str) -> bool:
+        """Whether a registrar's release has the feature, as it has named it or had no time yet to do so."""
+        peer = self.peers.get(address)
+        if peer is None:
+            return True
+        has_named = feature in peer.features or not peer.features
+        return has_named and peer.pings_without_features <= MAX_PINGS_WITHOUT_FEATURES
+
     # Judgements about a quorum
 
     def has_quorum_contact(self, now: float, members: tuple[Member, ...]) -> bool:
--- a/plumline/coordination/member_health.py
+++ b/plumline/coordination/member_health.py
@@ -1,9 +1,10 @@
 """Health of the members of a view, as the failure detector and their own reports show it."""
 
+from collections.abc import Iterable
 from enum import Enum, auto
 
 from plumline.coordination.environment import Member
-from plumline.coordination.failure_detector import SUSPECT_TIMEOUT_S, FailureDetector
+from plumline.coordination.failure_detector import SUSPECT_TIMEOUT_S, VIEW_ACTIVATION, FailureDetector
 from plumline.coordination.replica_status import ReplicaStatus
 from plumline.coordination.view import View
 
@@ -20,14 +21,19 @@
 
 
 class MemberAssessor:
-    """Judges members other than the local one, which counts as answering but has reported nothing."""
+    """Judges the registrars, the local one included, which answers but has reported nothing."""
 
-    def __init__(self, failure_detector: FailureDetector) -> None:
+    def __init__(self, local_member: Member, failure_detector: FailureDetector) -> None:
         """The failure detector has what the peers echoed and reported."""
+        self.local_member = local_member
         self.failure_detector = failure_detector
+        #: Set once this registrar shuts down; its pings tell the others.
+        self.draining = False
 
     def health(self, now: float, member: Member) -> MemberHealth:
-        """What is known of another member of the present view."""
+        """What is known of a member of the present view."""
+        if member == self.local_member:
+            return MemberHealth.UNFIT if self.draining else MemberHealth.HEALTHY
         address, incarnation = member
         peer = self.failure_detector.peers.get(address)
         if peer is None:
@@ -71,3 +77,25 @@
         """Whether a member has lost its disk, or has been silent for so long that nobody waits for it."""
         silence_s = self.failure_detector.time_since_contact(now, member.address)
         return self.has_lost_disk(member) or silence_s > ABSENT_AFTER_S
+
+    def is_answering(self, now: float, member: Member) -> bool:
+        """Whether this incarnation of a registrar runs, answers and can write."""
+        if member == self.local_member:
+            return True
+        peer = self.failure_detector.peers.get(member.address)
+        if peer is None or peer.incarnation != member.incarnation or peer.disk_unhealthy:
+            return False
+        return self.answered_recently(now, member)
+
+    def is_available(self, now: float, member: Member) -> bool:
+        """Whether a registrar can take its place in a chain now."""
+        return self.is_answering(now, member) and self.health(now, member) is MemberHealth.HEALTHY
+
+    def known_registrars(self) -> list[Member]:
+        """The registrars that have reported their incarnation, and this one, by address."""
+        peers = [Member(peer.address, peer.incarnation) for peer in self.failure_detector.peers.values()]
+        return sorted(member for member in (*peers, self.local_member) if member.incarnation)
+
+    def support_activation(self, members: Iterable[Member]) -> bool:
+        """Whether the releases of all these registrars understand a view with a base."""
+        return all(self.failure_detector.supports(address, VIEW_ACTIVATION) for address, _ in members)
--- a/plumline/coordination/replica_storage.py
+++ b/plumline/coordination/replica_storage.py
@@ -14,11 +14,14 @@
     DiscardPendingRecord,
     DiscardRecord,
     EntryRecord,
+    RollbackRecord,
     SnapshotRecord,
     decode_record,
 )
+from plumline.coordination.chain_role import ChainRole
 from plumline.coordination.environment import Environment, Record
 from plumline.coordination.log import Change, Entry, ReplicationLog
+from plumline.coordination.view import View
 
 #: Committed entries kept in memory for replicas that are behind; one further behind needs a snapshot.
 RETAINED_ENTRIES = 512
@@ -69,6 +72,7 @@
         #: Left the chain with uncommitted entries. The old tail may commit them yet, so they are kept until
         #: the members of a newer chain tell what was committed.
         self.discard_pending = False
+        self._rollback = RollbackRecord(0, 0, 0)  # of the newest view with a base
         self._generation = 0  # of the log; rises when entries are discarded, so that their syncs are ignored
 
     # Durable state.
@@ -95,6 +99,8 @@
             case DiscardRecord():
                 self.discard_pending = False
                 self.discard_after(record.after_index)
+            case RollbackRecord():
+                self._rollback = record
 
     def records(self) -> list[Record]:
         """Return the records from which `restore` makes the present content."""
@@ -106,6 +112,8 @@
         found.append(CaughtUpRecord(self.caught_up).to_wire())
         if self.discard_pending:
             found.append(DiscardPendingRecord().to_wire())
+        if self._rollback.view_number:
+            found.append(self._rollback.to_wire())
         return found
 
     def _persist_through(self, index: int, record: Record, on_synced: Callable[[], None]) -> None:
@@ -173,6 +181,47 @@
         """Remove committed entries beyond what is retained."""
         self.log.trim(self.committed_index, RETAINED_ENTRIES, RETAINED_BYTES)
 
+    # The log in a view with a base: what came in views that were abandoned since is rolled back.
+
+    def begin_view(self, view: View, role: ChainRole, *, is_source: bool) -> bool:
+        """Take on a role in a view with a base, and return whether entries were rolled back.
+
+        A source, a member of the base's chain, keeps what it held as it left the base: that may be committed,
+        and its log has all that those of later sources have. Any other member keeps committed entries alone,
+        but for a head: no source was in reach, and it holds all that was committed. A learner keeps all until
+        it learns what was committed. After a restart in the view nothing is rolled back.
+        """
+        assert view.base is not None
+        if self._rollback.view_number == view.number:
+            return False
+        has_left_base = self._rollback.base_number == view.base.number
+        left_at = self._rollback.index if has_left_base else self.synced_index
+        self._rollback = RollbackRecord(view.number, view.base.number, left_at)
+        rolled_back = False
+        if role.is_member():
+            rolled_back = self._roll_back_to(
+                self._kept_through(role, is_source=is_source, has_left_base=has_left_base)
+            )
+        self._environment.persist(self._rollback.to_wire(), _ignore)
+        self.set_caught_up(role.is_member() and (is_source or role.is_head()))
+        return rolled_back
+
+    def _kept_through(self, role: ChainRole, *, is_source: bool, has_left_base: bool) -> int:
+        """Index of the newest entry to keep in the chain of a view with a base."""
+        if is_source:
+            return max(self._rollback.index, self.committed_index) if has_left_base else self.last_index
+        return self.last_index if role.is_head() else self.committed_index
+
+    def _roll_back_to(self, index: int) -> bool:
+        if not self.discard_pending and self.last_index <= index:
+            return False
+        rolled_back = self.last_index > index
+        self.discard_pending = False
+        self._environment.persist(DiscardRecord(index).to_wire(), _ignore)
+        if rolled_back:
+            self.discard_after(index)
+        return rolled_back
+
     # Uncommitted entries after a change of view.
 
     def request_discard(self) -> None:
--- a/plumline/coordination/replication.py
+++ b/plumline/coordination/replication.py
@@ -74,6 +74,7 @@
         self._receive_window = ReceiveWindow()
         self._pending_replies = PendingReplies()
         self._catch_up_target: int | None = None  # index from which on this member is caught up
+        self.activated = False  # this view is, as far as is known here; nothing is committed in it before
         self._reads = LinearizableReads(environment, self.storage)
         self._catch_up_server = CatchUpServer(environment, self.storage)
         self.catch_up = CatchUpClient(
@@ -154,23 +155,44 @@
         """Take on the role in a newly decided view."""
         was_head = self.is_head()
         self.role = ChainRole.in_view(view, self.local_member)
+        self.activated = view.base is None
         self._catch_up_target = None
         self.send_window = SendWindow()
-        self._catch_up_server.begin_view(self.role)
+        self._catch_up_server.begin_view(self.role, activated=self.activated)
         self.catch_up.begin_view(self.role)
-        if view.number == 1 or self.role.is_learner():
-            self.storage.set_caught_up(self.role.is_member())
         self._next_report_at = 0.0
         self._reads.begin_view(self.role)
-        if was_head and not self.is_head():
+        rolled_back = self._begin_view_in_storage(view)
+        if rolled_back or (was_head and not self.is_head()):
             self._pending_replies.fail_all()
         if self.role.is_learner():
             self.storage.request_discard()
             return
-        self.storage.discard_uncommitted()
         self._report()
         self._commit_if_tail()
 
+    def _begin_view_in_storage(self, view: View) -> bool:
+        """Prepare the log for the role in the view; return whether entries were rolled back."""
+        if view.base is not None:
+            is_source = self.local_member in view.base.chain
+            return self.storage.begin_view(view, self.role, is_source=is_source)
+        if view.number == 1 or self.role.is_learner():
+            self.storage.set_caught_up(self.role.is_member())
+        if self.role.is_member():
+            self.storage.discard_uncommitted()
+        return False
+
+    def holds_all_committed(self) -> bool:
+        """Whether this is the tail, and so each member of the chain holds all that was committed before."""
+        return self.role.is_tail() and self.storage.caught_up
+
+    def on_view_activated(self) -> None:
+        """This view is activated: commit, answer reads and serve learners."""
+        if not self.activated:
+            self.activated = True
+            self._catch_up_server.begin_view(self.role, activated=True)
+            self._commit_if_tail()
+
     # Changes, at the head.
 
     def submit(self, change: Change, callback: SubmitCallback) -> None:
@@ -240,7 +262,7 @@
             self._commit_if_tail()
 
     def _commit_if_tail(self) -> None:
-        if self.role.is_tail() and self.storage.caught_up and self.can_commit():
+        if self.activated and self.holds_all_committed() and self.can_commit():
             self._commit_through(self.storage.synced_index)
             self._notify_predecessor_of_commit()
 
@@ -300,7 +322,9 @@
             self._notify_predecessor_of_commit()
 
     def _on_commit_notice(self, notice: CommitNotice) -> None:
+        self.on_view_activated()
         if notice.committed_index <= self.storage.committed_index:
+            self._notify_predecessor_of_activation()
             return
         if self.send_window.is_open:
             self.send_window.acknowledge(self._now, notice.committed_index)
@@ -308,10 +332,18 @@
         self._commit_through(notice.committed_index)
         self._notify_predecessor_of_commit()
 
+    def _notify_predecessor_of_activation(self) -> None:
+        """Pass on a tail's periodic notice where it tells nothing else: an earlier one may have been lost."""
+        if self.role.view is not None and self.role.view.base is not None:
+            self._notify_predecessor_of_commit()
+
     # Reads.
 
     def read(self, callback: Callable[[State | None], None]) -> None:
         """Call back with a state that has all changes acknowledged before; with None if it can't say."""
+        if not self.activated:
+            callback(None)
+            return
         self._reads.read(callback, can_commit=self.can_commit())
 
     # Messages.
--- a/plumline/coordination/view_agreement.py
+++ b/plumline/coordination/view_agreement.py
@@ -4,27 +4,39 @@
 themselves, goes through a majority of the old ones, and there is one history of views. What an acceptor
 promises or accepts is synced to its disk before the proposer hears of it. See docs/system.md, and Lamport,
 "Paxos Made Simple" (2001), for the two phases.
+
+A view is activated by a majority of its acceptors (`plumline.coordination.view`). A successor that is based
+on an earlier view abandons it: an acceptor that has promised such a successor takes no part in activating the
+view any more, and who has taken part says so in its promise. So of the two at most one gets its majority.
+docs/control-safety/activation.md has the argument.
 """
 
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from plumline.coordination.environment import Environment, Member, Message, Record
 from plumline.coordination.view import View
 from plumline.coordination.view_messages import (
     NO_PROPOSAL,
+    Abandoned,
+    AbandonedRecord,
     Accept,
+    AcceptBaseRecord,
     Accepted,
     AcceptedProposal,
     AcceptRecord,
+    Activate,
+    Activated,
+    ActivatedRecord,
     Decided,
     Prepare,
     Promise,
     PromiseRecord,
     ProposalNumber,
     Refused,
+    ViewBaseRecord,
     ViewRecord,
     ViewRequest,
     decode_message,
@@ -63,6 +75,11 @@
         # As an acceptor of the view after `view`.
         self.promised = NO_PROPOSAL
         self.accepted: AcceptedProposal | None = None
+        # As an acceptor of `view`.
+        self.activated = False  # its chain holds all that was acknowledged before, as far as is known here
+        self.abandoned = False  # has promised to take no part in activating it
+        self._activating = False  # takes part in activating it; at least on the way to the disk
+        self._activation_synced = False
         # As a proposer.
         self.proposer_name = f"{local_member.address}/{secrets.token_hex(4)}"  # no two lives share one
         self.proposal: Proposal | None = None
@@ -70,19 +87,35 @@
         self.next_proposal_at = 0.0
         # As a learner.
         self.unsynced_view: View | None = None  # decided, and being written to the disk
+        # While records are replayed: the bases that were written before what they belong to.
+        self._restored_view_base: ViewBaseRecord | None = None
+        self._restored_accept_base: AcceptBaseRecord | None = None
 
     # State
 
     def restore(self, record: Record) -> None:
         """Replays one durable record; those of other protocols change nothing."""
         match decode_record(record):
+            case ViewBaseRecord() as base:
+                self._restored_view_base = base
+            case AcceptBaseRecord() as base:
+                self._restored_accept_base = base
             case ViewRecord(view):
-                self._set_view(view)
+                base = self._restored_view_base
+                matches = base is not None and base.view_number == view.number
+                self._set_view(replace(view, base=base.base) if base and matches else view)
             case PromiseRecord(instance, number) if self.is_next(instance):
                 self.promised = max(self.promised, number)
             case AcceptRecord(instance, number, view) if self.is_next(instance):
                 self.promised = max(self.promised, number)
-                self.accepted = AcceptedProposal(number, view)
+                base = self._restored_accept_base
+                matches = base is not None and (base.instance, base.number) == (instance, number)
+                accepted = replace(view, base=base.base) if base and matches else view
+                self.accepted = AcceptedProposal(number, accepted)
+            case ActivatedRecord(number) if self._is_present(number):
+                self.activated = self._activating = self._activation_synced = True
+            case AbandonedRecord(number) if self._is_present(number):
+                self.abandoned = True
         self.highest_round = max(self.highest_round, self.promised.round)
 
     def records(self) -> list[Record]:
@@ -90,13 +123,17 @@
         records: list[Record] = []
         if self.view is not None:
             instance = self.view.number + 1
-            records.append(ViewRecord(self.view).to_wire())
+            records += _records_of_view(self.view)
+            if self._activating:
+                records.append(ActivatedRecord(self.view.number).to_wire())
+            if self.abandoned:
+                records.append(AbandonedRecord(self.view.number).to_wire())
             if self.promised > NO_PROPOSAL:
                 records.append(PromiseRecord(instance, self.promised).to_wire())
             if self.accepted:
-                records.append(AcceptRecord(instance, *self.accepted).to_wire())
+                records += _records_of_acceptance(instance, self.accepted)
         if self.unsynced_view is not None:
-            records.append(ViewRecord(self.unsynced_view).to_wire())
+            records += _records_of_view(self.unsynced_view)
         return records
 
     def knows_any_view(self) -> bool:
@@ -111,19 +148,25 @@
         """Whether this is the number of the view to be decided now."""
         return self.view is not None and instance == self.view.number + 1
 
+    def _is_present(self, view_number: int) -> bool:
+        return self.view is not None and view_number == self.view.number
+
     def knows_no_successor(self, number: int) -> bool:
         """Whether view `number` is the present one, and nothing accepted here may follow it."""
         return self.view is not None and self.view.number == number and self.accepted is None
 
     def _set_view(self, view: View) -> None:
         self.view, self.promised, self.accepted, self.proposal = view, NO_PROPOSAL, None, None
+        self.activated, self.abandoned = view.base is None, False
+        self._activating = self._activation_synced = False
 
     # Proposer
 
     def propose(self, now: float, random: Random, view: View) -> None:
         """Puts `view`, the successor of the present one, to the acceptors; another may be decided instead.
 
-        Does nothing while a proposal of this registrar is under way. It need not be an acceptor.
+        Does nothing while a proposal of this registrar is under way. It need not be an acceptor. The proposal
+        ends without a result if `view` abandons the present one and an acceptor tells that this is activated.
         """
         if self.view is None or view.number != self.view.number + 1:
             return
@@ -133,7 +176,7 @@
         number = ProposalNumber(self.highest_round, self.proposer_name)
         self.proposal = Proposal(view, number, now)
         self.next_proposal_at = now + PROPOSAL_TIMEOUT_S * random.uniform(*RETRY_FACTORS)
-        request = Prepare(view.number, number).to_wire()
+        request = Prepare(view.number, number, view.abandons_its_predecessor()).to_wire()
         for acceptor in self.view.acceptors:
             self.environment.send(acceptor.address, request)
 
@@ -144,10 +187,14 @@
         if self.view is None or proposal is None or proposal.chosen_view:
             return
         proposal.promises[sender] = promise.accepted
+        self.activated |= promise.activated is True
         if len(proposal.promises) < self.view.majority():
             return
         accepted = [each for each in proposal.promises.values() if each is not None]
         newest = max(accepted, key=lambda each: each.number, default=None)
+        if newest is None and self.activated and proposal.proposed_view.abandons_its_predecessor():
+            self.proposal = None  # what was committed in the present view is not in that base
+            return
         proposal.chosen_view = newest.view if newest else proposal.proposed_view
         request = Accept(promise.instance, promise.number, proposal.chosen_view).to_wire()
         for acceptor in self.view.acceptors:
@@ -192,7 +239,11 @@
             self.environment.send(sender, Refused(instance, self.promised).to_wire())
             return
         self.promised = number
-        reply = Promise(instance, number, self.accepted_to_report()).to_wire()
+        activated = None
+        if prepare.abandons:
+            activated = self.activated
+            self._stop_activating(instance - 1)
+        reply = Promise(instance, number, self.accepted_to_report(), activated).to_wire()
         self.environment.persist(
             PromiseRecord(instance, number).to_wire(), lambda: self.environment.send(sender, reply)
         )
@@ -214,9 +265,10 @@
             return
         self.promised, self.accepted = number, AcceptedProposal(number, view)
         reply = Accepted(instance, number).to_wire()
-        self.environment.persist(
-            AcceptRecord(instance, number, view).to_wire(), lambda: self.environment.send(sender, reply)
-        )
+        *before, record = _records_of_acceptance(instance, self.accepted)
+        for each in before:
+            self.environment.persist(each, _ignore)
+        self.environment.persist(record, lambda: self.environment.send(sender, reply))
 
     def _on_other_instance(self, sender: str, instance: int) -> None:
         """One of the two registrars lacks a view: sends or requests it."""
@@ -225,6 +277,39 @@
         else:
             self.environment.send(sender, ViewRequest().to_wire())
 
+    # Activation, at an acceptor
+
+    def _stop_activating(self, view_number: int) -> None:
+        """Takes no part in activating the view from now on; that is on the disk before the promise."""
+        if not self.abandoned:
+            self.abandoned = True
+            self.environment.persist(AbandonedRecord(view_number).to_wire(), _ignore)
+
+    def on_activate(self, sender: str, view_number: int) -> None:
+        """Takes part in activating the present view, and tells it once that is synced; refuses if it has
+        promised to abandon the view."""
+        if not self._is_present(view_number):
+            self._on_other_instance(sender, view_number + 1)
+            return
+        if not self.is_acceptor():
+            return
+        if self.abandoned and not self._activating:
+            self.environment.send(sender, Abandoned(view_number).to_wire())
+            return
+        reply = Activated(view_number).to_wire()
+        if self._activation_synced:
+            self.environment.send(sender, reply)
+        if self._activating:
+            return
+        self.activated = self._activating = True
+
+        def on_synced() -> None:
+            if self._is_present(view_number):
+                self._activation_synced = True
+                self.environment.send(sender, reply)
+
+        self.environment.persist(ActivatedRecord(view_number).to_wire(), on_synced)
+
     # Learner
 
     def on_decided(self, view: View) -> None:
@@ -241,7 +326,10 @@
                 self._set_view(view)
                 self.on_installed(view)
 
-        self.environment.persist(ViewRecord(view).to_wire(), on_synced)
+        *before, record = _records_of_view(view)
+        for each in before:
+            self.environment.persist(each, _ignore)
+        self.environment.persist(record, on_synced)
 
     def on_peer_view_number(self, sender: str, number: int) -> None:
         """Requests the view of a peer that has reported a newer one."""
@@ -269,4 +357,29 @@
             case ViewRequest():
                 if self.view is not None:
                     self.environment.send(sender, Decided(self.view).to_wire())
+            case Activate(view_number):
+                self.on_activate(sender, view_number)
+            case Activated() | Abandoned():
+                return False  # for the tail's `ViewActivation`
         return True
+
+
+def _ignore() -> None:
+    """Nothing waits for the record to be synced."""
+
+
+def _records_of_view(view: View) -> list[Record]:
+    """The records of a decided view, in their order."""
+    record = ViewRecord(view).to_wire()
+    if view.base is None:
+        return [record]
+    return [ViewBaseRecord(view.number, view.base).to_wire(), record]
+
+
+def _records_of_acceptance(instance: int, accepted: AcceptedProposal) -> list[Record]:
+    """The records of what an acceptor has accepted, in their order."""
+    number, view = accepted
+    record = AcceptRecord(instance, number, view).to_wire()
+    if view.base is None:
+        return [record]
+    return [AcceptBaseRecord(instance, number, view.base).to_wire(), record]
--- a/plumline/coordination/view_messages.py
+++ b/plumline/coordination/view_messages.py
@@ -1,16 +1,19 @@
 """Messages and stored records of the agreement on views, and their form on the wire and on the disk.
 
 A proposal number is a list of two, a view is as `View.to_wire` gives it. `instance` is the number of the view
-to be decided.
+to be decided. Whatever concerns activation has a form of its own, beside those that earlier releases know and
+that are sent or written wherever they suffice.
 """
 
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
 from plumline.coordination.environment import Message, Record
-from plumline.coordination.view import View
+from plumline.coordination.view import ActivatedView, View
 
-RECORD_KINDS = frozenset({"view", "promise", "accept"})
+RECORD_KINDS = frozenset(
+    {"view", "promise", "accept", "view-base", "accept-base", "view-activated", "view-abandoned"}
+)
 
 
 class ProposalNumber(NamedTuple):
@@ -45,10 +48,13 @@
 
     instance: int
     number: ProposalNumber
+    #: The proposed view abandons its predecessor: promise also not to take part in activating that one.
+    abandons: bool = False
 
     def to_wire(self) -> Message:
         """The message as it is sent."""
-        return ["view-prepare", self.instance, list(self.number)]
+        wire = ["view-prepare", self.instance, list(self.number)]
+        return [*wire, True] if self.abandons else wire
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,13 +64,16 @@
     instance: int
     number: ProposalNumber
     accepted: AcceptedProposal | None
+    #: Whether the view before `instance` is activated, as far as the acceptor knows. None: not asked for.
+    activated: bool | None = None
 
     def to_wire(self) -> Message:
         """The message as it is sent."""
         accepted = None
         if self.accepted is not None:
             accepted = [list(self.accepted.number), self.accepted.view.to_wire()]
-        return ["view-promise", self.instance, list(self.number), accepted]
+        wire = ["view-promise", self.instance, list(self.number), accepted]
+        return wire if self.activated is None else [*wire, self.activated]
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,7 +133,42 @@
         return ["view-ask"]
 
 
-ViewMessage = Prepare | Promise | Accept | Accepted | Refused | Decided | ViewRequest
+@dataclass(frozen=True, slots=True)
+class Activate:
+    """From the tail of a view to its acceptors: the chain holds all that was acknowledged before."""
+
+    view_number: int
+
+    def to_wire(self) -> Message:
+        """The message as it is sent."""
+        return ["view-activate", self.view_number]
+
+
+@dataclass(frozen=True, slots=True)
+class Activated:
+    """An acceptor's answer: it has that on its disk."""
+
+    view_number: int
+
+    def to_wire(self) -> Message:
+        """The message as it is sent."""
+        return ["view-activated", self.view_number]
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    """An acceptor's answer: it has promised not to take part in activating this view."""
+
+    view_number: int
+
+    def to_wire(self) -> Message:
+        """The message as it is sent."""
+        return ["view-abandoned", self.view_number]
+
+
+ViewMessage = (
+    Prepare | Promise | Accept | Accepted | Refused | Decided | ViewRequest | Activate | Activated | Abandoned
+)
 
 
 def decode_message(message: Message) -> ViewMessage | None:
@@ -135,8 +179,14 @@
     match message:
         case ["view-prepare", int(instance), number]:
             return Prepare(instance, ProposalNumber.from_wire(number))
+        case ["view-prepare", int(instance), number, True]:
+            return Prepare(instance, ProposalNumber.from_wire(number), abandons=True)
         case ["view-promise", int(instance), number, accepted]:
             return Promise(instance, ProposalNumber.from_wire(number), _accepted_from_wire(accepted))
+        case ["view-promise", int(instance), number, accepted, bool(activated)]:
+            return Promise(
+                instance, ProposalNumber.from_wire(number), _accepted_from_wire(accepted), activated
+            )
         case ["view-accept", int(instance), number, view]:
             return Accept(instance, ProposalNumber.from_wire(number), View.from_wire(view))
         case ["view-accepted", int(instance), number]:
@@ -147,6 +197,12 @@
             return Decided(View.from_wire(view))
         case ["view-ask"]:
             return ViewRequest()
+        case ["view-activate", int(view_number)]:
+            return Activate(view_number)
+        case ["view-activated", int(view_number)]:
+            return Activated(view_number)
+        case ["view-abandoned", int(view_number)]:
+            return Abandoned(view_number)
     return None
 
 
@@ -156,7 +212,8 @@
     return AcceptedProposal(ProposalNumber.from_wire(wire[0]), View.from_wire(wire[1]))
 
 
-# Records
+# Records. The base of a view is a record before that of the view, so that a file whose end was lost never has
+# a view without its base, and an earlier release reads the view alone.
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,7 +224,19 @@
 
     def to_wire(self) -> Record:
         """The record as it is stored."""
-        return ["view", self.view.to_wire()]
+        return ["view", self.view.to_wire_without_base()]
+
+
+@dataclass(frozen=True, slots=True)
+class ViewBaseRecord:
+    """The base of a decided view, whose own record follows."""
+
+    view_number: int
+    base: ActivatedView
+
+    def to_wire(self) -> Record:
+        """The record as it is stored."""
+        return ["view-base", self.view_number, self.base.to_wire()]
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,16 +261,70 @@
 
     def to_wire(self) -> Record:
         """The record as it is stored."""
-        return ["accept", self.instance, list(self.number), self.view.to_wire()]
+        return ["accept", self.instance, list(self.number), self.view.to_wire_without_base()]
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptBaseRecord:
+    """The base of an accepted view, whose own record follows."""
+
+    instance: int
+    number: ProposalNumber
+    base: ActivatedView
+
+    def to_wire(self) -> Record:
+        """The record as it is stored."""
+        return ["accept-base", self.instance, list(self.number), self.base.to_wire()]
+
+
+@dataclass(frozen=True, slots=True)
+class ActivatedRecord:
+    """This acceptor takes part in activating the view: it never promises to abandon it without saying so."""
+
+    view_number: int
+
+    def to_wire(self) -> Record:
+        """The record as it is stored."""
+        return ["view-activated", self.view_number]
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonedRecord:
+    """This acceptor takes no part in activating the view any more."""
+
+    view_number: int
+
+    def to_wire(self) -> Record:
+        """The record as it is stored."""
+        return ["view-abandoned", self.view_number]
+
+
+ViewAgreementRecord = (
+    ViewRecord
+    | ViewBaseRecord
+    | PromiseRecord
+    | AcceptRecord
+    | AcceptBaseRecord
+    | ActivatedRecord
+    | AbandonedRecord
+)
 
 
-def decode_record(record: Record) -> ViewRecord | PromiseRecord | AcceptRecord | None:
+def decode_record(record: Record) -> ViewAgreementRecord | None:
     """The record typed; None for one of another protocol."""
     match record:
         case ["view", view]:
             return ViewRecord(View.from_wire(view))
+        case ["view-base", view_number, base]:
+            return ViewBaseRecord(view_number, ActivatedView.from_wire(base))
         case ["promise", instance, number]:
             return PromiseRecord(instance, ProposalNumber.from_wire(number))
         case ["accept", instance, number, view]:
             return AcceptRecord(instance, ProposalNumber.from_wire(number), View.from_wire(view))
+        case ["accept-base", instance, number, base]:
+            return AcceptBaseRecord(instance, ProposalNumber.from_wire(number), ActivatedView.from_wire(base))
+        case ["view-activated", view_number]:
+            return ActivatedRecord(view_number)
+        case ["view-abandoned", view_number]:
+            return AbandonedRecord(view_number)
     return None
