--- a/tests/core_mutations.py
+++ b/tests/core_mutations.py
@@ -13,11 +13,13 @@
 from plumline.coordination.lease.voter import Voter
 from plumline.coordination.member_health import MemberAssessor, MemberHealth
 from plumline.coordination.membership import MembershipReconciler, PendingHandover
+from plumline.coordination.pending_replies import SubmitCallback
 from plumline.coordination.replica_storage import ReplicaStorage
 from plumline.coordination.replication import ChainReplica
 from plumline.coordination.view import View
 from plumline.coordination.view_agreement import ViewAgreement
 from plumline.coordination.view_messages import Prepare
+from plumline.errors import PlumlineError
 
 
 def exchange(part: str, kind: type) -> Callable[[Core], None]:
@@ -114,6 +116,13 @@
         return super().on_message(sender, message)
 
 
+class RefusesWithoutAsking(ChainReplica):
+    """A head refuses by what it holds, also where it was removed and others hold more."""
+
+    def _refuse(self, error: PlumlineError, callback: SubmitCallback) -> None:
+        callback(error)
+
+
 # The guards of activation.
 
 
