--- a/plumline/coordination/acceptor_planner.py
+++ b/plumline/coordination/acceptor_planner.py
@@ -1,9 +1,10 @@
 """Which members vote in the next view: the smallest set that tolerates the losses, repaired by exchange.
 
-docs/control-safety/membership.md has the reasons.
+docs/control-safety/membership.md and docs/control-safety/zones.md have the reasons.
 """
 
 from plumline.coordination.environment import Member
+from plumline.coordination.loss_tolerance import LossTolerance, spread
 from plumline.coordination.member_health import MemberAssessor, MemberHealth
 from plumline.coordination.view import View
 
@@ -11,15 +12,26 @@
 class AcceptorPlanner:
     """Plans the acceptors of the view that follows the present one."""
 
-    def __init__(self, members: MemberAssessor, replicas_needed: int) -> None:
-        """`replicas_needed` hold each acknowledged entry: one more than may be lost at once."""
+    def __init__(self, members: MemberAssessor, tolerance: LossTolerance) -> None:
+        """`tolerance`: what may be lost at once."""
         self.members = members
-        self.replicas_needed = replicas_needed
+        self.tolerance = tolerance
 
-    @property
-    def target_acceptor_count(self) -> int:
-        """The smallest number of acceptors that keep a majority with `replicas_needed` - 1 of them lost."""
-        return 2 * self.replicas_needed - 1
+    def target_acceptor_count(self, view: View) -> int:
+        """The smallest odd number of acceptors of which every loss leaves a majority, if well placed.
+
+        Where none does, the number that the loss of single machines needs.
+        """
+        smallest = 2 * self.tolerance.machines + 1
+        tolerance = self.members.attainable_tolerance(view, self.tolerance)
+        if not tolerance.zones and not tolerance.regions:
+            return smallest
+        known = {member.address for member in (*view.chain, *view.acceptors)}
+        domains = [self.members.failure_detector.domain_of(address) for address in known]
+        for count in range(smallest, len(domains) + 1, 2):
+            if tolerance.leaves_a_majority(spread(domains, count)):
+                return count
+        return smallest
 
     def desired_acceptors(self, now: float, view: View, chain: tuple[Member, ...]) -> tuple[Member, ...]:
         """The acceptors of the next view, of which at most one is another than in the present one.
@@ -32,32 +44,63 @@
         candidate = self.next_acceptor(now, view, chain)
         if candidate is not None:
             replaced = self.replaceable_acceptor(now, view, chain, candidate)
-            if replaced is not None or len(view.acceptors) < self.target_acceptor_count:
+            if replaced is not None or len(view.acceptors) < self.target_acceptor_count(view):
                 return (*(member for member in view.acceptors if member != replaced), candidate)
-        if len(view.acceptors) > self.target_acceptor_count:
+        if len(view.acceptors) > self.target_acceptor_count(view):
             stopped = self._stopped_acceptors(now, view, chain)
             if stopped:
                 return tuple(member for member in view.acceptors if member != stopped[0])
-        return view.acceptors
+        return self._spread_further(now, view, chain)
+
+    def _spread_further(self, now: float, view: View, chain: tuple[Member, ...]) -> tuple[Member, ...]:
+        """The acceptors with one exchanged for a member of the chain, if the worst loss then takes fewer.
+
+        All who vote go on to vote in the meantime, so the step costs no tolerance.
+        """
+        tolerance = self.members.attainable_tolerance(view, self.tolerance)
+        if not tolerance.zones and not tolerance.regions:
+            return view.acceptors
+        best, least = view.acceptors, self._worst_loss(tolerance, view.acceptors)
+        for candidate in self._candidates(now, view, chain):
+            for replaced in view.acceptors:
+                exchanged = (*(member for member in view.acceptors if member != replaced), candidate)
+                if self._worst_loss(tolerance, exchanged) < least:
+                    best, least = exchanged, self._worst_loss(tolerance, exchanged)
+        return best
+
+    def _worst_loss(self, tolerance: LossTolerance, members: tuple[Member, ...]) -> int:
+        return tolerance.worst_loss(self.members.domains(members))
 
     def next_acceptor(self, now: float, view: View, chain: tuple[Member, ...]) -> Member | None:
         """The healthy member of the chain that becomes an acceptor next, once one is replaceable.
 
-        First comes one whose earlier incarnation is an acceptor, as it lost that one's disk; then the chain's
-        order counts.
+        First comes one whose earlier incarnation is an acceptor, as it lost that one's disk; then one with
+        which a loss takes the fewest of those that vote; then the chain's order counts.
         """
-        candidates = [
+        candidates = self._candidates(now, view, chain)
+        acceptor_addresses = {address for address, _ in view.acceptors}
+        for member in candidates:
+            if member.address in acceptor_addresses:
+                return member
+        voting = tuple(
+            member for member in view.acceptors if not self.members.has_stopped_voting(now, member)
+        )
+        tolerance = self.members.attainable_tolerance(view, self.tolerance)
+        return min(
+            candidates,
+            key=lambda candidate: self._worst_loss(tolerance, (*voting, candidate)),
+            default=None,
+        )
+
+    def _candidates(self, now: float, view: View, chain: tuple[Member, ...]) -> list[Member]:
+        """The healthy members of the chain that are no acceptors, in its order."""
+        return [
             member
             for member in chain
             if member not in view.acceptors
             and self.members.answered_recently(now, member)
             and self.members.health(now, member) is MemberHealth.HEALTHY
         ]
-        acceptor_addresses = {address for address, _ in view.acceptors}
-        for member in candidates:
-            if member.address in acceptor_addresses:
-                return member
-        return candidates[0] if candidates else None
 
     def replaceable_acceptor(
         self, now: float, view: View, chain: tuple[Member, ...], candidate: Member
@@ -95,7 +138,7 @@
         """
         if self.next_acceptor(now, view, view.chain) is not None:
             return False
-        if len(view.acceptors) > self.target_acceptor_count:
+        if len(view.acceptors) > self.target_acceptor_count(view):
             return False
         others = [member for member in view.acceptors if member != self.members.local_member]
         voting = [
--- a/plumline/coordination/chain_planner.py
+++ b/plumline/coordination/chain_planner.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from plumline.coordination.environment import Member
+from plumline.coordination.loss_tolerance import LossTolerance
 from plumline.coordination.member_health import MemberAssessor, MemberHealth
 from plumline.coordination.replica_status import ReplicaStatus
 from plumline.coordination.view import ActivatedView, View
@@ -29,11 +30,13 @@
 class ChainPlanner:
     """Plans chains from what this registrar knows of the others."""
 
-    def __init__(self, members: MemberAssessor, replicas_needed: int) -> None:
-        """`replicas_needed` hold each acknowledged entry: one more than may be lost at once."""
+    def __init__(self, members: MemberAssessor, tolerance: LossTolerance) -> None:
+        """`tolerance`: what may be lost at once."""
         self.members = members
         self.local_member = members.local_member
-        self.replicas_needed = replicas_needed
+        self.tolerance = tolerance
+        #: Hold each acknowledged entry, if single machines are lost.
+        self.replicas_needed = tolerance.machines + 1
 
     # Who holds all that was committed.
 
@@ -109,9 +112,9 @@
         The latter is waived if all members that are left out have been absent for long: then only a chain
         without them lets the others catch up.
         """
-        needed = self._shortest_chain(view)
-        if len(chain) < needed:
+        if not self._is_long_enough(view, chain):
             return False
+        needed = self._shortest_chain(view)
         caught_up = sum(self._is_live_replica(now, view, member, replica) for member in chain)
         if caught_up >= needed:
             return True
@@ -135,7 +138,7 @@
         """The chain with the next learner, and with as many as it needs to be long enough to commit."""
         while (learner := self._next_learner(now, view, chain, replica)) is not None:
             chain = (*chain, learner)
-            if len(chain) >= self._shortest_chain(view):
+            if self._is_long_enough(view, chain):
                 break
         return chain
 
@@ -176,7 +179,7 @@
         if not chain:
             return None
         chain = self._with_available_members(now, view, chain, reachable)
-        return chain if len(chain) >= self._shortest_chain(view) else None
+        return chain if self._is_long_enough(view, chain) else None
 
     def _available_sources(self, now: float, base: ActivatedView) -> tuple[Member, ...]:
         """The sources of the base that answer; those that are about to end only where there are no others."""
@@ -192,6 +195,17 @@
             if self.is_caught_up(view, member, replica) and self.members.is_available(now, member)
         )
 
+    def survives_losses(self, view: View, chain: tuple[Member, ...]) -> bool:
+        """Whether a replica of what this chain commits is left after every loss that can be borne at all."""
+        tolerance = self.members.attainable_tolerance(view, self.tolerance)
+        return tolerance.leaves_a_replica(self.members.domains(chain))
+
+    def _is_long_enough(self, view: View, chain: tuple[Member, ...]) -> bool:
+        """Whether the chain could commit, or at least bears as much as the present one."""
+        if len(chain) < self._shortest_chain(view):
+            return False
+        return self.survives_losses(view, chain) or not self.survives_losses(view, view.chain)
+
     def _shortest_chain(self, view: View) -> int:
         """How many members the next chain must have at least."""
         return min(self.replicas_needed, len(view.chain))
@@ -204,7 +218,7 @@
         What they lack they get from their predecessors before the view is activated.
         """
         for member in (*preferred, *self.members.known_registrars()):
-            if len(chain) >= self._shortest_chain(view):
+            if self._is_long_enough(view, chain):
                 break
             is_new = all(member.address != each.address for each in chain)
             if is_new and self.members.is_available(now, member):
--- a/plumline/coordination/core.py
+++ b/plumline/coordination/core.py
@@ -28,6 +28,7 @@
     Send,
 )
 from plumline.coordination.log import Change
+from plumline.coordination.loss_tolerance import UNKNOWN_DOMAIN, FailureDomain, LossTolerance
 from plumline.coordination.membership import MembershipReconciler, PendingHandover
 from plumline.coordination.read_barrier import ViewCheck
 from plumline.coordination.replica_status import LocalStatus
@@ -48,6 +49,14 @@
     replicas_needed: int  # of each committed entry: one more than the machines that may be lost
     first_start: bool  # the system never ran before
     leases: dict[str, LeaseDurations]  # by name
+    domain: FailureDomain = UNKNOWN_DOMAIN  # where this registrar runs
+    zone_losses: int = 0  # that may be lost at once in place of machines
+    region_losses: int = 0
+
+    @property
+    def tolerance(self) -> LossTolerance:
+        """What may be lost at once."""
+        return LossTolerance(self.replicas_needed - 1, self.zone_losses, self.region_losses)
 
 
 class CoreObserver(Protocol):
@@ -92,10 +101,11 @@
             load_state,
             observer.on_entry_committed,
         )
-        self.failure_detector = FailureDetector(member, environment)
+        self.failure_detector = FailureDetector(member, environment, config.domain)
         self.membership = MembershipReconciler(
-            member, self.view_agreement, self.failure_detector, random, config.replicas_needed
+            member, self.view_agreement, self.failure_detector, random, config.tolerance
         )
+        self.chain.survives_losses = lambda view: self.membership.chains.survives_losses(view, view.chain)
         self.bootstrap = Bootstrap(
             member,
             config.seeds,
@@ -287,6 +297,11 @@
         view = self.view_agreement.view
         return view is not None and self.failure_detector.has_quorum_contact(now, view.acceptors)
 
+    def check_tolerance(self) -> None:
+        """Raises ToleranceUnattainableError where the known registrars run in too few zones or regions."""
+        if self.view_agreement.view is not None:
+            self.membership.check_tolerance(self.view_agreement.view)
+
     def head_address(self) -> str | None:
         """Where changes are submitted, as far as known: the address of the chain's first member."""
         view = self.view_agreement.view
--- a/plumline/coordination/failure_detector.py
+++ b/plumline/coordination/failure_detector.py
@@ -12,11 +12,12 @@
 from typing import Any
 
 from plumline.coordination.environment import Environment, Member, Message
+from plumline.coordination.loss_tolerance import UNKNOWN_DOMAIN, FailureDomain
 from plumline.coordination.replica_status import LocalStatus, ReplicaStatus
 
 PING_KIND = "ping"  # of the messages that carry a registrar's status
 PING_INTERVAL_S = 0.15
-FEATURES_KIND = "features"  # of the messages that name what a registrar's release can do
+FEATURES_KIND = "features"  # of the messages that name what a registrar's release can do, and where it runs
 #: Views with a base are understood, and activated.
 VIEW_ACTIVATION = "view-activation"
 LOCAL_FEATURES = (VIEW_ACTIVATION,)
@@ -51,13 +52,17 @@
     disk_healthy_since: float = 0.0  # when it last reported its disk to be healthy again
     features: frozenset[str] = frozenset()  # of its release, as it named them last
     pings_without_features: int = 0  # received since then
+    domain: FailureDomain = UNKNOWN_DOMAIN
 
 
 class FailureDetector:
     """Pings the other registrars and judges from the echoes which of them are alive."""
 
-    def __init__(self, local_member: Member, environment: Environment) -> None:
-        """Starts with no peers; `add_peer` names them."""
+    def __init__(
+        self, local_member: Member, environment: Environment, domain: FailureDomain = UNKNOWN_DOMAIN
+    ) -> None:
+        """Starts with no peers; `add_peer` names them. `domain`: where this registrar runs."""
+        self.domain = domain
         self.local_member, self.environment = local_member, environment
         self.peers: dict[str, Peer] = {}  # by address, without this registrar
         self._sent_at: dict[int, float] = {}  # nonce of a ping -> when it was sent
@@ -93,7 +98,7 @@
         self._pings_sent += 1
         for address, peer in self.peers.items():
             if names_features or not peer.features:
-                self.environment.send(address, [FEATURES_KIND, list(LOCAL_FEATURES)])
+                self.environment.send(address, [FEATURES_KIND, list(LOCAL_FEATURES), *self.domain])
             self.environment.send(address, [PING_KIND, self._nonce, *report])
 
     def ping_soon(self) -> None:
@@ -107,8 +112,8 @@
                 self._on_ping(now, sender, nonce, message)
             case ["pong", int(nonce)]:
                 self._on_echo(now, sender, nonce)
-            case ["features", list(names)]:
-                self._on_features(now, sender, names)
+            case ["features", list(names), str(zone), str(region), *_]:
+                self._on_features(now, sender, names, FailureDomain(zone, region))
             case _:
                 return False
         return True
@@ -126,11 +131,12 @@
             peer.disk_healthy_since = now
         self.environment.send(sender, ["pong", nonce])
 
-    def _on_features(self, now: float, sender: str, names: list[Any]) -> None:
+    def _on_features(self, now: float, sender: str, names: list[Any], domain: FailureDomain) -> None:
         self.add_peer(now, sender)
         if peer := self.peers.get(sender):
             peer.features = frozenset(name for name in names if isinstance(name, str))
             peer.pings_without_features = 0
+            peer.domain = domain
 
     def _on_echo(self, now: float, sender: str, nonce: int) -> None:
         peer, sent_at = self.peers.get(sender), self._sent_at.get(nonce)
@@ -182,6 +188,13 @@
         has_named = feature in peer.features or not peer.features
         return has_named and peer.pings_without_features <= MAX_PINGS_WITHOUT_FEATURES
 
+    def domain_of(self, address: str) -> FailureDomain:
+        """Where a registrar runs, as it has told."""
+        if address == self.local_member.address:
+            return self.domain
+        peer = self.peers.get(address)
+        return peer.domain if peer is not None else UNKNOWN_DOMAIN
+
     # Judgements about a quorum
 
     def has_quorum_contact(self, now: float, members: tuple[Member, ...]) -> bool:
--- a/plumline/coordination/member_health.py
+++ b/plumline/coordination/member_health.py
@@ -5,6 +5,7 @@
 
 from plumline.coordination.environment import Member
 from plumline.coordination.failure_detector import SUSPECT_TIMEOUT_S, VIEW_ACTIVATION, FailureDetector
+from plumline.coordination.loss_tolerance import FailureDomain, LossTolerance
 from plumline.coordination.replica_status import ReplicaStatus
 from plumline.coordination.view import View
 
@@ -96,6 +97,17 @@
         peers = [Member(peer.address, peer.incarnation) for peer in self.failure_detector.peers.values()]
         return sorted(member for member in (*peers, self.local_member) if member.incarnation)
 
+    def domains(self, members: Iterable[Member]) -> list[FailureDomain]:
+        """Where these registrars run, as they have told."""
+        return [self.failure_detector.domain_of(member.address) for member in members]
+
+    def attainable_tolerance(self, view: View, tolerance: LossTolerance) -> LossTolerance:
+        """The part of the tolerance that the registrars of the view and all known others can bear."""
+        if not tolerance.zones and not tolerance.regions:
+            return tolerance
+        addresses = {member.address for member in (*view.acceptors, *view.chain, *self.known_registrars())}
+        return tolerance.attainable(self.failure_detector.domain_of(address) for address in addresses)
+
     def support_activation(self, members: Iterable[Member]) -> bool:
         """Whether the releases of all these registrars understand a view with a base."""
         return all(self.failure_detector.supports(address, VIEW_ACTIVATION) for address, _ in members)
--- a/plumline/coordination/membership.py
+++ b/plumline/coordination/membership.py
@@ -20,9 +20,11 @@
 from plumline.coordination.chain_planner import ChainPlanner, LocalReplica
 from plumline.coordination.environment import Member
 from plumline.coordination.failure_detector import FailureDetector
+from plumline.coordination.loss_tolerance import LossTolerance
 from plumline.coordination.member_health import MemberAssessor
 from plumline.coordination.view import View
 from plumline.coordination.view_agreement import ViewAgreement
+from plumline.errors import ToleranceUnattainableError
 
 #: Seconds between the first proposals of registrars that could propose the same view.
 PROPOSAL_STAGGER_S = 0.12
@@ -45,17 +47,16 @@
         view_agreement: ViewAgreement,
         failure_detector: FailureDetector,
         rng: Random,
-        replicas_needed: int,
+        tolerance: LossTolerance,
     ) -> None:
-        """`replicas_needed` hold each acknowledged entry: one more than may be lost at once."""
+        """`tolerance`: what may be lost at once."""
         self.local_member = local_member
         self.view_agreement = view_agreement
         self.failure_detector = failure_detector
         self.members = MemberAssessor(local_member, failure_detector)
-        self.chains = ChainPlanner(self.members, replicas_needed)
-        self.acceptors = AcceptorPlanner(self.members, replicas_needed)
+        self.chains = ChainPlanner(self.members, tolerance)
+        self.acceptors = AcceptorPlanner(self.members, tolerance)
         self.rng = rng
-        self.replicas_needed = replicas_needed
         self._target: View | None = None
         self._target_since = 0.0
 
@@ -160,6 +161,15 @@
             return view
         return View(view.number + 1, acceptors, chain, base)
 
+    def check_tolerance(self, view: View) -> None:
+        """Raises ToleranceUnattainableError where the known registrars run in too few zones or regions."""
+        wanted = self.acceptors.tolerance
+        if self.members.attainable_tolerance(view, wanted) != wanted:
+            raise ToleranceUnattainableError(
+                f"{wanted.zones} zones or {wanted.regions} regions may be lost at once, and the known"
+                " registrars run in too few for a majority to be left"
+            )
+
     # Leaving.
 
     def pending_handover(self, now: float) -> PendingHandover | None:
@@ -176,4 +186,4 @@
     def is_replicated_by_others(self, view: View) -> bool:
         """Whether enough members of this view's chain have reported in it that they are caught up."""
         caught_up = sum(self.members.has_reported_caught_up(view, member) for member in view.chain)
-        return caught_up >= min(self.replicas_needed, len(view.chain))
+        return caught_up >= min(self.chains.replicas_needed, len(view.chain))
--- a/plumline/coordination/replication.py
+++ b/plumline/coordination/replication.py
@@ -67,6 +67,8 @@
         the change where a snapshot replaced the state.
         """
         self.local_member, self._replicas_needed = local_member, replicas_needed
+        #: Whether a view's chain leaves a replica after every loss: with zones, length is not enough.
+        self.survives_losses: Callable[[View], bool] = lambda view: True
         self._environment = environment
         self.role = ChainRole.without_view()
         self.storage = ReplicaStorage(environment, initial_state, load, on_applied)
@@ -128,8 +130,10 @@
         return self.role.is_tail()
 
     def can_commit(self) -> bool:
-        """Whether the chain has as many members as must hold a committed entry."""
-        return self.role.view is not None and self.role.chain_length >= self._replicas_needed
+        """Whether enough members are in the chain for what it commits to outlive every loss."""
+        if self.role.view is None or self.role.chain_length < self._replicas_needed:
+            return False
+        return self.survives_losses(self.role.view)
 
     def status(self) -> ReplicaStatus:
         """Return what this registrar's pings report of its replica."""
--- a/plumline/errors.py
+++ b/plumline/errors.py
@@ -54,6 +54,16 @@
     code, status = "unavailable", 503
 
 
+class ToleranceUnattainableError(PlumlineError):
+    """The registrars run in fewer zones or regions than the losses in the settings ask for.
+
+    The core goes on with the best placement that there is, and bears the loss of single machines. To do: run
+    registrars in 2 n + 1 zones (or regions) for n that may be lost at once, or ask for less.
+    """
+
+    code, status = "tolerance-unattainable", 500
+
+
 class FrameError(PlumlineError):
     """Bytes on an internal connection that are no frame of this protocol.
 
--- a/plumline/registrar/process.py
+++ b/plumline/registrar/process.py
@@ -10,9 +10,11 @@
 from plumline.coordination.core import Core, CoreConfig
 from plumline.coordination.environment import Member, Message, Record
 from plumline.coordination.log import Change
+from plumline.coordination.loss_tolerance import FailureDomain
 from plumline.coordination.soft_state import SoftState
 from plumline.coordination.view import View
 from plumline.counters import Counters
+from plumline.errors import ToleranceUnattainableError
 from plumline.process_signals import finish_unless, handle_signals
 from plumline.registrar.durable_state import DurableState
 from plumline.registrar.message_handlers import PeerMessageHandler, RouterMessageHandler
@@ -124,6 +126,9 @@
             replicas_needed=settings.machine_losses + 1,
             first_start=settings.first_start,
             leases=lease_durations(settings),
+            domain=FailureDomain(settings.zone, settings.region),
+            zone_losses=settings.zone_losses,
+            region_losses=settings.region_losses,
         )
         return Core(
             config,
@@ -174,8 +179,16 @@
             if counters_timer.is_due(now):
                 for line in self.counters.changed_lines():
                     log.info(line)
+                self._check_tolerance()
             await asyncio.sleep(STEP_INTERVAL_S)
 
+    def _check_tolerance(self) -> None:
+        """Warns as long as the registrars' places can't bear the losses of the settings."""
+        try:
+            self.core.check_tolerance()
+        except ToleranceUnattainableError as error:
+            log.warning(logs.event("tolerance", code=error.code, text=error.text))
+
     def _step(self, now: float) -> None:
         self.core.disk_unhealthy = self.durable_state.is_unhealthy(now)
         if (changed := self.settings_file.poll(now)) is not None:
--- a/tests/core_mutations.py
+++ b/tests/core_mutations.py
@@ -51,6 +51,13 @@
         return (*view.acceptors, newcomer) if newcomer and wanted == view.acceptors else wanted
 
 
+class SpreadsNobody(AcceptorPlanner):
+    """Acceptors stay where they are, also with most of them in one zone."""
+
+    def _spread_further(self, now: float, view: View, chain: tuple[Member, ...]) -> tuple[Member, ...]:
+        return view.acceptors
+
+
 class JudgesBeforeItHasHeard(MembershipReconciler):
     def reaches_majority(self, now: float, view: View) -> bool:
         return True
--- a/tests/core_tolerance.py
+++ b/tests/core_tolerance.py
@@ -553,17 +553,16 @@
         if missing:
             raise ViolationError(f"{missing} were acknowledged and are lost")
         self.await_leases(LEASE_S)
-        names = {place.name for place in self.places}
-
-        def whole() -> bool:
-            view = self.newest
-            chain, acceptors = ({each for each, _ in members} for members in (view.chain, view.acceptors))
-            voting = min(len(names), 2 * self.losses + 1)
-            return chain == names and acceptors <= names and len(view.acceptors) == voting
-
-        if not self.go(CATCH_UP_S, whole):
+        if not self.go(CATCH_UP_S, self.is_whole):
             raise ViolationError(f"not whole again: {self.state()}")
 
+    def is_whole(self) -> bool:
+        """Whether each place is in the chain, and as many as needed vote."""
+        view, names = self.newest, {place.name for place in self.places}
+        chain, acceptors = ({each for each, _ in members} for members in (view.chain, view.acceptors))
+        voting = min(len(names), 2 * self.losses + 1)
+        return chain == names and acceptors <= names and len(view.acceptors) == voting
+
     def operate(self) -> None:
         """Somebody asks some registrar for something."""
         if not self.troubles_on:
--- a/tests/core_world.py
+++ b/tests/core_world.py
@@ -196,9 +196,8 @@
         node.held_back.clear()
         node.thaws_at = 0.0
         node.offset = self.random.uniform(0, 1000)
-        config = CoreConfig(node.me, self.seeds, self.copies, self.first_start, self.leases)
         core = node.core = Core(
-            config,
+            self.config(node),
             NodeEnvironment(self, node),
             Register(),
             Register.load,
@@ -212,6 +211,9 @@
         life = node.life
         self.at(self.random.random() * TICK_S, lambda: self.tick(node, life))
 
+    def config(self, node: Node) -> CoreConfig:
+        return CoreConfig(node.me, self.seeds, self.copies, self.first_start, self.leases)
+
     def guard(self, node: Node, life: int, call: Callable[[], None]) -> None:
         """Calls if that life still goes on; a frozen node gets it when it thaws."""
         if node.core is None or node.life != life:
--- a/tests/test_registrar_start.py
+++ b/tests/test_registrar_start.py
@@ -58,6 +58,9 @@
     def is_up_to_date(self, now: float) -> bool:
         return self.steps >= 3
 
+    def _check_tolerance(self) -> None:
+        """Nothing to warn of."""
+
     def _step(self, now: float) -> None:
         self.steps += 1
 
