--- a/plumline/coordination/read_barrier.py
+++ b/plumline/coordination/read_barrier.py
@@ -14,6 +14,8 @@
 from plumline.coordination.view import View
 
 MAX_PENDING_CONFIRMATIONS = 64  # beyond that the oldest is denied
+REPEAT_INTERVAL_S = 0.2  # after which acceptors that have not replied are asked again
+CONFIRMATION_TIMEOUT_S = 2.0  # after which a question is denied; who asked has left before
 
 ConfirmationCallback = Callable[[bool], None]
 
@@ -68,6 +70,8 @@
 
     view: View
     callback: ConfirmationCallback
+    asked_at: float  # s
+    repeat_at: float
     confirmed_by: set[str] = field(default_factory=set)  # addresses of acceptors
 
 
@@ -79,19 +83,36 @@
         self._pending: dict[int, PendingConfirmation] = {}  # by nonce, oldest first
         #: Begins at random, so that replies to an earlier process of this member match nothing.
         self._nonce = secrets.randbits(48)
+        self._now = 0.0
+
+    def tick(self, now: float) -> None:
+        """Asks again where a message may have been lost, and gives up what was asked long ago."""
+        self._now = now
+        for nonce, question in list(self._pending.items()):
+            if now - question.asked_at >= CONFIRMATION_TIMEOUT_S:
+                del self._pending[nonce]
+                question.callback(False)
+            elif now >= question.repeat_at:
+                question.repeat_at = now + REPEAT_INTERVAL_S
+                self._ask(nonce, question)
+
+    def _ask(self, nonce: int, question: PendingConfirmation) -> None:
+        check = ViewCheck(nonce, question.view.number).to_wire()
+        for acceptor in question.view.acceptors:
+            if acceptor.address not in question.confirmed_by:
+                self._environment.send(acceptor.address, check)
 
     def confirm(self, view: View, callback: ConfirmationCallback) -> None:
         """Call back with True once a majority of the view's acceptors knows none newer, else with False.
 
-        The callback comes at the latest with the next view; there is no timeout.
+        The callback comes at the latest with the next view, or after CONFIRMATION_TIMEOUT_S.
         """
         self._nonce += 1
-        self._pending[self._nonce] = PendingConfirmation(view, callback)
+        question = PendingConfirmation(view, callback, self._now, self._now + REPEAT_INTERVAL_S)
+        self._pending[self._nonce] = question
         while len(self._pending) > MAX_PENDING_CONFIRMATIONS:
             self._pending.pop(next(iter(self._pending))).callback(False)
-        check = ViewCheck(self._nonce, view.number).to_wire()
-        for acceptor in view.acceptors:
-            self._environment.send(acceptor.address, check)
+        self._ask(self._nonce, question)
 
     def on_confirmed(self, sender: str, message: ViewConfirmed) -> None:
         """Count an acceptor's reply; a duplicate, or one to an earlier question, changes nothing."""
--- a/plumline/coordination/reads.py
+++ b/plumline/coordination/reads.py
@@ -26,6 +26,10 @@
         self._role = role
         self._barrier.deny_all()
 
+    def tick(self, now: float) -> None:
+        """Ask acceptors again that have not replied."""
+        self._barrier.tick(now)
+
     def read(self, callback: Callable[[State | None], None], *, can_commit: bool) -> None:
         """Call back with the state, or with None where this replica may not answer.
 
--- a/plumline/coordination/replication.py
+++ b/plumline/coordination/replication.py
@@ -299,6 +299,7 @@
         self._now = now
         self._catch_up_server.tick(now)
         self.catch_up.tick(now)
+        self._reads.tick(now)
         if now < self._next_report_at:
             return
         self._next_report_at = now + REPORT_INTERVAL_S
--- a/plumline/errors.py
+++ b/plumline/errors.py
@@ -73,6 +73,15 @@
     code, status = "frame-invalid", 400
 
 
+class ProtocolVersionError(FrameError):
+    """The peer's hello names another protocol or version; the text has both.
+
+    To do: run releases side by side that are next to each other; nothing is taken from such a peer.
+    """
+
+    code = "protocol-version"
+
+
 class StoreError(PlumlineError):
     """The write-ahead log of a process can't be read, written or synced.
 
--- a/plumline/registrar/forwarding.py
+++ b/plumline/registrar/forwarding.py
@@ -31,6 +31,9 @@
 
 #: s for the head or the tail to answer; with the ways to and from the caller well under its second.
 FORWARD_TIMEOUT_S = 0.75
+#: s after which a read is forwarded again: its message or the response may have been lost. A change is not,
+#: as it may be large; its operator sends it again.
+READ_REPEAT_INTERVAL_S = 0.25
 #: Callers wait longer for large bodies, and these take longer to read, to sync and to pass on.
 LARGE_BODY_BYTES_PER_S = 1_000_000
 ERROR_TYPES_BY_CODE = {
@@ -52,6 +55,8 @@
     address: str  # of the registrar that it was forwarded to
     deadline: float
     on_result: ResultCallback
+    read: ForwardedRead | None = None  # to be repeated
+    repeat_at: float = 0.0
 
 
 class RequestForwarder:
@@ -86,7 +91,10 @@
         if error is not None or address is None:
             on_result(error, None)
             return
-        self.pending[request.key] = PendingRequest(address, now + timeout_s, on_result)
+        pending = PendingRequest(address, now + timeout_s, on_result)
+        if isinstance(request, ForwardedRead):
+            pending.read, pending.repeat_at = request, now + READ_REPEAT_INTERVAL_S
+        self.pending[request.key] = pending
         self.send(address, request.to_wire())
 
     def _unreachable_error(self, now: float, address: str | None) -> UnavailableError | None:
@@ -102,7 +110,7 @@
         return None
 
     def tick(self, now: float) -> None:
-        """Fails the requests that have timed out, or wait for a registrar that can't be reached any more."""
+        """Repeats reads, and fails what has timed out or waits for a registrar that can't be reached."""
         for key, request in list(self.pending.items()):
             error = self._unreachable_error(now, request.address)
             if error is None and now >= request.deadline:
@@ -110,6 +118,9 @@
             if error is not None:
                 del self.pending[key]
                 request.on_result(error, None)
+            elif request.read is not None and now >= request.repeat_at:
+                request.repeat_at = now + READ_REPEAT_INTERVAL_S
+                self.send(request.address, request.read.to_wire())
 
     def fail_pending(self) -> None:
         """This registrar ends: every request without a response gets one that says to ask another."""
--- a/plumline/wire/frame_link.py
+++ b/plumline/wire/frame_link.py
@@ -15,8 +15,9 @@
 
 import ormsgpack
 
+from plumline import logs
 from plumline.counters import Counters
-from plumline.errors import FrameError
+from plumline.errors import FrameError, ProtocolVersionError
 from plumline.wire.frames import CHUNK_KIND, LENGTH_BYTES, PROTOCOL, VERSION, FrameDecoder, framed, pack
 
 CHUNK_BYTES = 16 * 1024  # of a larger body that go into one frame: 26 ms at 5 Mbit/s
@@ -24,6 +25,8 @@
 MAX_UNSENT_BYTES = 24 * 1024 * 1024  # that a peer may leave unread before the connection is closed
 HELLO_FIELDS = ("node", "role", "address", "zone")
 
+log = logs.logger("link")
+
 
 @dataclass(slots=True)
 class OutgoingFrame:
@@ -105,6 +108,8 @@
                     return
         except FrameError as error:
             self.counters.add(f"frames.{error.code}")
+            if isinstance(error, ProtocolVersionError):
+                log.warning(logs.event("link-refused", code=error.code, text=error.text))
             self.abort()
 
     def _on_hello(self, message: list[Any]) -> None:
@@ -114,6 +119,10 @@
                     raise FrameError("a hello without its fields")
                 self.peer = fields
                 self.on_up(self)
+            case ["hello", str(name), version, *_] if (name, version) != (PROTOCOL, VERSION):
+                raise ProtocolVersionError(
+                    f"the peer speaks {name} {version}, this release {PROTOCOL} {VERSION}"
+                )
             case _:
                 raise FrameError("no hello of this protocol and version")
 
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -6,7 +6,12 @@
 
 from plumline.coordination.environment import Member
 from plumline.errors import PlumlineError, UnavailableError, VersionConflictError
-from plumline.registrar.forwarding import FORWARD_TIMEOUT_S, LARGE_BODY_BYTES_PER_S, RequestForwarder
+from plumline.registrar.forwarding import (
+    FORWARD_TIMEOUT_S,
+    LARGE_BODY_BYTES_PER_S,
+    READ_REPEAT_INTERVAL_S,
+    RequestForwarder,
+)
 
 CHANGE = ["amend", 1, {"Version": 2}]
 
@@ -161,3 +166,18 @@
     scene = Scene()
     for message in (["ping", 1], ["ask", 7, ["read"]], ["ask", "k", ["drop"]], ["answer", "k", 5, "", None]):
         assert not scene.forwarder.on_message(0.0, "x", message)
+
+
+def test_a_read_without_a_response_is_forwarded_again_and_a_change_is_not() -> None:
+    scene = Scene()
+    scene.submit()
+    scene.forwarder.read(0.0, scene.on_result)
+    _, read = scene.sent[-1]
+    for now in (READ_REPEAT_INTERVAL_S / 2, READ_REPEAT_INTERVAL_S, READ_REPEAT_INTERVAL_S * 1.5):
+        scene.forwarder.tick(now)
+    assert scene.sent[2:] == [("tail", read)]
+    for _ in range(2):  # the response to each of the two
+        scene.forwarder.on_message(0.5, "tail", ["answer", read[1], None, "", {"Version": 1}])
+    assert scene.results == [(None, {"Version": 1})]
+    scene.forwarder.tick(READ_REPEAT_INTERVAL_S * 2)
+    assert len(scene.sent) == 3
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -5,6 +5,7 @@
 import tracemalloc
 import zlib
 from typing import Any
+from unittest.mock import patch
 
 import ormsgpack
 import pytest
@@ -75,6 +76,24 @@
     return link, transport, counters
 
 
+def test_a_hello_of_another_version_is_refused_with_both_versions() -> None:
+    async def play(greeting: list[Any]) -> tuple[bool, dict[str, int]]:
+        link, transport, counters = sender()
+        link.data_received(pack(greeting))
+        return transport.is_closing(), counters.snapshot()
+
+    fields = {"node": "m", "role": "router", "address": "a:2", "zone": "z"}
+    with patch.object(frame_link, "log") as log:
+        closed, counted = asyncio.run(play(["hello", "plumline", 3, fields]))
+    assert closed
+    assert counted["frames.protocol-version"] == 1
+    (line,) = log.warning.call_args.args
+    assert "plumline 3" in line and "plumline 2" in line
+    closed, counted = asyncio.run(play(["hello", "plumline", 2, []]))
+    assert closed
+    assert counted["frames.frame-invalid"] == 1
+
+
 def test_beats_pass_between_the_pieces_of_a_state_on_a_thin_link() -> None:
     async def play() -> None:
         link, transport, _ = sender()
--- a/tests/test_stale_messages.py
+++ b/tests/test_stale_messages.py
@@ -5,11 +5,13 @@
 
 import pytest
 
+from plumline.coordination.read_barrier import CONFIRMATION_TIMEOUT_S, REPEAT_INTERVAL_S
 from plumline.coordination.replica_status import ReplicaStatus
 from plumline.errors import VersionConflictError
 from tests.core_mutations import mutation
 from tests.core_register import ViolationError
 from tests.core_world import World
+from tests.test_activation import lose
 
 
 def formed(**kwargs: Any) -> World:  # noqa: ANN401
@@ -111,3 +113,28 @@
 def test_without_asking_a_majority_a_change_is_refused_and_in_force() -> None:
     with pytest.raises(ViolationError):
         refusal_by_a_head_that_was_removed(formed(**mutation("RefusesWithoutAsking")))
+
+
+def test_a_read_whose_question_to_the_acceptors_is_lost_is_answered_all_the_same() -> None:
+    world = formed()
+    world.put(0)
+    stop = lose(world, "view-check")
+    answers: list[Any] = []
+    world.read(world.nodes["c"], answers.append)
+    world.go(0.1)
+    stop()
+    world.go(2 * REPEAT_INTERVAL_S)
+    assert [state.ids for state in answers] == [("c1",)]
+
+
+def test_a_question_that_nobody_answers_is_given_up() -> None:
+    world = formed()
+    world.put(0)
+    lose(world, "view-check")
+    answers: list[Any] = []
+    world.read(world.nodes["c"], answers.append)
+    world.go(CONFIRMATION_TIMEOUT_S + 0.2)
+    assert answers == [None]
+    world.spy = True
+    world.go(1.0)
+    assert not [message for _, _, _, message in world.seen if message[0] == "view-check"]
