--- a/plumline/cli.py
+++ b/plumline/cli.py
@@ -361,6 +361,7 @@
 @click.option("--registrars", type=click.IntRange(1, 9), default=3, show_default=True)
 @click.option("--clients", type=click.IntRange(1, 500), default=24, show_default=True)
 @click.option("--seconds", type=click.FloatRange(min=5), default=20.0, show_default=True, help="Of traffic.")
+@click.option("--faults", is_flag=True, help="Also kills, freezes and a lost disk.")
 @click.option(
     "--logs", type=click.Path(file_okay=False), help="Keeps the output of processes of broken seeds."
 )
--- a/plumline/lab/soak/judge.py
+++ b/plumline/lab/soak/judge.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from plumline.lab.clients import Breach
+from plumline.lab.soak.faults import FaultPeriod
 
 LATE_REQUEST_S = 3.0  # after SIGTERM: no request sent later may be cut, however late the cut
 LAST_SHARE = 1 / 6  # of the grace period, in which requests sent before that may be cut
@@ -32,6 +33,7 @@
 
     terminated_at: float
     exited_at: float = float("inf")
+    disturbed: bool = False  # by a fault: how it ended says nothing
 
 
 @dataclass(slots=True)
@@ -43,6 +45,8 @@
     lag_s: float  # by which the soak's own clock may have been late
     arrived: set[str]  # requests that endpoints have read
     shutdowns: Mapping[str, list[Shutdown]] = field(default_factory=dict)
+    faults: Mapping[str, list[FaultPeriod]] = field(default_factory=dict)
+    contact_s: float = 0.0  # after the end of a fault, before its process counts as sound
 
 
 def judge_lost(records: Iterable[RequestRecord], evidence: Evidence) -> list[Breach]:
@@ -56,6 +60,8 @@
         return False
     if record.completed_at >= record.first_sent + record.patience_s - CLOCK_SLACK_S:
         return False
+    if met_fault(record, evidence):
+        return False
     if record.id not in evidence.arrived:
         # It crossed the close of its connection, unless that came well after it.
         return record.completed_at - record.last_sent > evidence.loss_slack_s + evidence.lag_s
@@ -67,6 +73,15 @@
     return not (sent_in_time and record.completed_at >= last_share_begins)
 
 
+def met_fault(record: RequestRecord, evidence: Evidence) -> bool:
+    """Whether its process had a fault from `contact_s` before the request to its end."""
+    return any(
+        record.completed_at >= fault.began_at - CLOCK_SLACK_S
+        and record.first_sent <= fault.ended_at + evidence.contact_s
+        for fault in evidence.faults.get(record.target, [])
+    )
+
+
 def shutdown_of(record: RequestRecord, evidence: Evidence) -> Shutdown | None:
     """The shutdown of its process in which the connection ended."""
     for each in evidence.shutdowns.get(record.target, []):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from plumline.lab.soak.faults import Fault, FaultPeriod, draw_faults
 from plumline.lab.soak.judge import Evidence, RequestRecord, Shutdown, is_lost, judge_lost
 from plumline.lab.soak.plan import Action, draw_plan
 from plumline.lab.soak.runner import SoakSize, run_seed
@@ -99,3 +100,41 @@
     """Before issue 27 was mended, seed 130 lost a request on a kept connection, 5.0 s after SIGTERM."""
     size = SoakSize(routers=4, registrars=3, clients=40, seconds=20.0)
     assert asyncio.run(played(seed, size, tmp_path)) == ""
+
+
+def test_faults_are_the_same_for_the_same_seed_and_lose_one_disk_at_the_most() -> None:
+    kinds = set()
+    for seed in range(50):
+        drawn = [draw_faults(random.Random(seed), ROUTERS, REGISTRARS, 20.0) for _ in range(2)]
+        assert drawn[0] == drawn[1]
+        lost = [step for step in drawn[0] if step.fault is Fault.LOSE_DISK]
+        assert len(lost) <= 1
+        assert all(step.target in REGISTRARS for step in lost)
+        kinds |= {step.fault for step in drawn[0]}
+    assert kinds == set(Fault)
+
+
+@pytest.mark.parametrize(
+    ("began_s", "over_s", "target", "lost"),
+    [
+        (2.5, 3.0, "edge-1", False),  # cut by it
+        (-4.0, -2.0, "edge-1", False),  # sent so soon after it
+        (-4.0, -3.5, "edge-1", True),
+        (2.5, 3.0, "edge-2", True),  # of another process
+        (2.7, 3.0, "edge-1", True),  # it came later
+    ],
+)
+def test_only_a_fault_of_its_own_process_excuses_a_request(
+    began_s: float, over_s: float, target: str, lost: bool
+) -> None:
+    found = evidence()
+    found.shutdowns = {}
+    found.contact_s = 3.0
+    found.faults = {target: [FaultPeriod(TERMINATED + began_s, TERMINATED + over_s)]}
+    assert is_lost(cut(0.5, 2.5), found) is lost
+
+
+def test_a_short_soak_with_faults_loses_nothing(tmp_path: Path) -> None:
+    """Seed 3 has kills, freezes and a lost disk."""
+    size = SoakSize(routers=4, registrars=3, clients=30, seconds=15.0, faults=True)
+    assert asyncio.run(played(3, size, tmp_path)) == ""
