--- a/plumline/coordination/membership.py
+++ b/plumline/coordination/membership.py
@@ -8,7 +8,10 @@
 - A silent member is excluded by its neighbours in the chain alone. Whoever merely can't be reached from
   elsewhere in the chain still replicates.
 - What a member reports of itself (a new incarnation, a failing disk, that it leaves) counts for everyone.
-- The tail admits learners, one in each view, as it is the replica that they will follow.
+- The tail admits learners, as it is the replica that they will follow: one in each view, or as many as the
+  chain needs to commit.
+
+A view that is not activated and whose chain lost a member is abandoned (docs/control-safety/activation.md).
 
 docs/control-safety/membership.md has the invariants, and the tests that show each of them.
 """
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -12,6 +12,7 @@
 DAYS = Path(__file__).parent.parent / "deploy/sites/days"
 POINTS = ("cut-off", "repeats", "second-loss", "catch-up", "answers")  # of the operators' letter
 INCIDENTS = ("restarts",)  # of docs/incidents
+RULES = ("rules",)  # that the news pages added
 SITE = """
 zones = [{ name = "hall" }]
 services = [{ name = "desk" }]
@@ -34,7 +35,7 @@
     size, _, point = path.stem.partition("-")
     assert day["name"] == path.stem
     assert size in ("small", "large")
-    assert point.startswith(POINTS + INCIDENTS)
+    assert point.startswith(POINTS + INCIDENTS + RULES)
     has_trouble = bool(day["plan"] or day["faults"])
     assert has_trouble is not path.stem.endswith("-none")  # one that the others of its point are held against
 
