--- a/plumline/lab/soak/runner.py
+++ b/plumline/lab/soak/runner.py
@@ -126,7 +126,9 @@
         if not self.signal(signal.SIGTERM) or self.draining:
             return
         self.draining = True
-        shutdown = Shutdown(time.monotonic())
+        now = time.monotonic()
+        has_fault = any(fault.ended_at > now for fault in self.faults)
+        shutdown = Shutdown(now, disturbed=has_fault)
         self.shutdowns.append(shutdown)
         self._begin(self._restart(shutdown))
 
