--- a/tests/core_tolerance.py
+++ b/tests/core_tolerance.py
@@ -445,8 +445,10 @@
         self.at(self.random.choice([1.0, CATCH_UP_S]), end_old)
 
     def name_seeds(self) -> None:
-        """Other seeds, one of them at least in touch; some processes read the settings again."""
+        """Other seeds, one of them at least in touch, or else to come back; some processes read the settings
+        again. A new machine that is told only of machines that are gone for good can find nobody."""
         well = [each.name for each in self.places if not each.lost(self.now)]
+        well = well or [each.name for each in self.places if not self.nodes[each.name].gone]
         if not well:
             return
         first = self.random.choice(well)
