--- a/review/harness.py
+++ b/review/harness.py
@@ -164,6 +164,9 @@
     """Plays the case, which leaves `record.txt` in `folder`, and ends with its exit code."""
 
     async def play() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         record = Record(folder)
         with tempfile.TemporaryDirectory(prefix="plumline-review-") as name:
             system = System(Path(name), routers, registrars)
@@ -177,7 +180,11 @@
             finally:
                 await system.stop()
 
-    sys.exit(asyncio.run(play()))
+    try:
+        status = asyncio.run(play())
+    except (asyncio.CancelledError, KeyboardInterrupt):  # told to end: its processes have ended as well
+        status = COULD_NOT_RUN
+    sys.exit(status)
 
 
 __all__ = ["CallError", "CouldNotRunError", "Process", "Record", "System", "fetch", "run", "trouble"]
