Match routes that follow a configuration without Routes

Cause: registrars publish a Replace as the Amend that makes the same document. `amendment_between` took a section that the document before lacks for one that is no list of items, and put it whole beside `Upserts`, a form that no operator may send. Merging such a body gives the right document, so the comparison after it held; but `RouteTable.with_amendment` takes routes from `Upserts` and `Removals` alone, so the routers' table stayed without any.

Change: a list that the document before lacks counts as empty, so its items are upserts. A router that is given the routes whole, as registrars of earlier releases send them, makes its table from the document. Either side alone mends the fault, so it is mended in a mix of releases too. The log event `configuration` of a router tells how many routes its table has: before, the log could not tell a table without routes from a request without one.

--- a/plumline/configuration/difference.py
+++ b/plumline/configuration/difference.py
@@ -25,17 +25,20 @@
 
 
 def amendment_between(current: Document, new: Document) -> Document | None:
-    """The body of an Amend from `current` to `new`, up to the order of items; None if no Amend can do it."""
+    """The body of an Amend from `current` to `new`, up to the order of items; None if no Amend can do it.
+
+    A list of items that `current` lacks counts as an empty one, so that its items come as upserts: that is the
+    only form in which an operator may send them.
+    """
     if any(key not in new for key in current) or any(key in new for key in AMENDMENT_KEYS):
         return None
     upserts: dict[str, list[Document]] = {}
     removals: dict[str, list[str]] = {}
     body: Document = {"Version": new["Version"], "Upserts": upserts, "Removals": removals}
     for key, value in new.items():
-        old = current.get(key)
-        if key == "Version" or (key in current and old == value):
+        if key == "Version" or (key in current and current[key] == value):
             continue
-        before, after = items_by_name(old), items_by_name(value)
+        before, after = items_by_name(current.get(key, [])), items_by_name(value)
         if before is None or after is None:
             body[key] = value
             continue
--- a/plumline/configuration/route_table.py
+++ b/plumline/configuration/route_table.py
@@ -98,8 +98,12 @@
     def with_amendment(self, document: Document, body: Document) -> "RouteTable":
         """The table of `document`, which an Amend with this body has made of this table's document.
 
-        Untouched routes are shared, so that one changed route of thousands costs little.
+        Untouched routes are shared, so that one changed route of thousands costs little. A body that gives
+        the routes whole, as registrars of earlier releases send it where there were none, is no change of
+        single routes: the table is made from the document.
         """
+        if "Routes" in body:
+            return RouteTable(document, self)
         table = RouteTable.__new__(RouteTable)
         table._routes_by_name, table._hosts = dict(self._routes_by_name), dict(self._hosts)
         table._latency_targets = _LatencyTargetCounts(self._latency_targets)
@@ -154,6 +158,11 @@
             for api_key in item.get("ApiKeys") or ():
                 self._tenants_by_key[api_key] = tenant
 
+    @property
+    def route_count(self) -> int:
+        """How many routes can be matched; makes none of them."""
+        return len(self._routes_by_name)
+
     @property
     def routes(self) -> list[Route]:
         """All routes, in the order of the document; makes each that no request has asked for yet."""
--- a/plumline/router/subscriber.py
+++ b/plumline/router/subscriber.py
@@ -306,7 +306,8 @@
         self.fleet.state, self.fleet.place = state, index
         if changed and state.configuration is not None:
             self.fleet.table = self._route_table(state.configuration, change)
-            log.info(logs.event("configuration", version=state.version, place=index))
+            routes = self.fleet.table.route_count
+            log.info(logs.event("configuration", version=state.version, place=index, routes=routes))
         self.fleet.tell("configuration")
 
     def _route_table(self, document: Document, change: list[Any] | None) -> RouteTable:
--- a/tests/test_difference.py
+++ b/tests/test_difference.py
@@ -2,11 +2,13 @@
 
 from typing import Any
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from plumline.configuration.amendment import amend_document
 from plumline.configuration.difference import replace_as_amend
-from plumline.configuration.document import Document
+from plumline.configuration.document import SECTIONS, Document
 from plumline.configuration.replicated_state import ReplicatedConfiguration
 from plumline.configuration.route_table import RouteTable
 
@@ -35,9 +37,10 @@
         {"Name": name, "ApiKeys": [f"key-{name}"], "Isolated": draw(st.booleans())}
         for name in draw(st.lists(NAMES, unique=True))
     ]
-    document: Document = {"Version": version, "Routes": routes, "Services": [{"Name": "s"}]}
-    if draw(st.booleans()):
-        document["Tenants"] = tenants
+    document: Document = {"Version": version}
+    sections = {"Routes": routes, "Services": [{"Name": "s"}], "Tenants": tenants}
+    for section in draw(st.lists(st.sampled_from(sorted(sections)), unique=True)):
+        document[section] = sections[section]
     if draw(st.booleans()):
         document["Limits"] = {"BodyLimitBytes": draw(st.integers(1, 2))}
     if draw(st.booleans()):
@@ -117,3 +120,47 @@
     named = ["weights", {"Model": "m", "Version": 2}]
     assert replace_as_amend(first, named) is named
     assert replace_as_amend(None, without) is without
+
+
+def section_item(section: str) -> Document:
+    """An item by which a look-up in the table shows whether its section is in force."""
+    items = {
+        "Routes": route("a", 1, 1),
+        "Services": {"Name": "s"},
+        "Tenants": {"Name": "a", "ApiKeys": ["key-a"], "ReservedShare": 0.1},
+    }
+    return items[section]
+
+
+# Guards against routes that are acknowledged and read back while every router answers 404 (review/2).
+@pytest.mark.parametrize("section", SECTIONS)
+def test_a_section_that_the_document_before_lacks_is_in_force_at_the_router(section: str) -> None:
+    second = {"Version": 2} | {each: [section_item(each)] for each in SECTIONS}
+    first = {key: value for key, value in second.items() if key != section} | {"Version": 1}
+    change = replace_as_amend(first, ["replace", 1, second])
+    state = ReplicatedConfiguration().apply(["replace", 0, first]).apply(change)
+    assert state.configuration == second
+    assert change[0] == "amend"
+    table = RouteTable(first).with_amendment(second, change[2])
+    assert lookups(table) == lookups(RouteTable(second))
+
+
+# Guards against an Amend that only the publisher's own merge understands: operators could not send it.
+@pytest.mark.parametrize("section", SECTIONS)
+def test_a_section_that_the_document_before_lacks_is_sent_as_its_items(section: str) -> None:
+    first = {"Version": 1, "Services": [section_item("Services")]}
+    second = {**first, "Version": 2, section: [section_item(section)]}
+    _, based_on, body = replace_as_amend(first, ["replace", 1, second])
+    assert not set(SECTIONS) & body.keys()
+    assert amend_document(first, based_on, body) == second
+
+
+# Guards against a registrar of an earlier release, which sends such a section whole beside Upserts.
+def test_routes_that_an_amendment_gives_whole_replace_those_of_the_table() -> None:
+    first = {"Version": 1, "Routes": [route("a", 1, 1), route("b", 2, 1)], "Services": [{"Name": "s"}]}
+    second = {**first, "Version": 2, "Routes": [route("b", 2, 1), route("c", 3, 1)]}
+    earlier = RouteTable(first)
+    body = {"Version": 2, "Upserts": {}, "Removals": {}, "Routes": second["Routes"]}
+    table = earlier.with_amendment(second, body)
+    assert lookups(table) == lookups(RouteTable(second))
+    assert table.match("h1", "/x/rest") is None
