Take salt and isolation of a request from one configuration

Callers saw: nothing in their answers.

Cause: the salt was put together from two moments. Whether the tenant is isolated came from the configuration of the admission, the generation of the shared cache from the one in force at the send. A generation begins just because a tenant is isolated from then on, so the one request that must stay out of it was let in. The wait for another prompt's reading, the hold, a second attempt, a resumed stream and the opening of a connection all lie between admission and send.

Change: who may use what a request leaves is looked up at each send, by tenant name, in the table that goes with the generation (`cache_owner_of`). A tenant that is no longer listed shares nothing: it may come back isolated. A choice made before a connection was opened is dropped if its salt is no longer in force. The router takes over state and table in one step. Request.isolated is gone, so nothing can read it late.

--- a/plumline/configuration/difference.py
+++ b/plumline/configuration/difference.py
@@ -27,8 +27,8 @@
 def amendment_between(current: Document, new: Document) -> Document | None:
     """The body of an Amend from `current` to `new`, up to the order of items; None if no Amend can do it.
 
-    A list of items that `current` lacks counts as an empty one, so that its items come as upserts: that is the
-    only form in which an operator may send them.
+    A list of items that `current` lacks counts as an empty one, so that its items come as upserts: the only
+    form in which an operator may send them.
     """
     if any(key not in new for key in current) or any(key in new for key in AMENDMENT_KEYS):
         return None
--- a/plumline/configuration/route_table.py
+++ b/plumline/configuration/route_table.py
@@ -151,10 +151,13 @@
         self.has_tenants = bool(document.get("Tenants"))
         self.reserved_shares: dict[str, float] = {}
         self._tenants_by_key: dict[str, Tenant] = {}
+        self._sharing_tenants: set[str] = set()
         for item in document.get("Tenants", ()):
             tenant = tenant_from(item)
             if tenant.reserved_share:
                 self.reserved_shares[tenant.name] = tenant.reserved_share
+            if not tenant.isolated:
+                self._sharing_tenants.add(tenant.name)
             for api_key in item.get("ApiKeys") or ():
                 self._tenants_by_key[api_key] = tenant
 
@@ -198,3 +201,7 @@
     def tenant_of(self, api_key: str) -> Tenant | None:
         """The tenant with this API key; None if no tenant has it."""
         return self._tenants_by_key.get(api_key)
+
+    def shares_cache(self, tenant_name: str) -> bool:
+        """Whether the tenant uses the prefix cache that tenants share: it is listed, and not isolated."""
+        return tenant_name in self._sharing_tenants
--- a/plumline/router/admission.py
+++ b/plumline/router/admission.py
@@ -54,11 +54,6 @@
         """Whose share it is, see `owner_of`."""
         return owner_of(self.tenant)
 
-    @property
-    def isolated(self) -> str | None:
-        """The tenant that shares what it keeps with no other."""
-        return self.tenant.name if self.tenant and self.tenant.isolated else None
-
 
 @dataclass(slots=True)
 class Denial:
--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -123,10 +123,12 @@
         """One more send that ended so."""
         self.router.counters.add(f"send-{name}")
 
-    def still_there(self) -> bool:
-        """Whether the endpoint is listed and takes new requests."""
+    def may_go_out(self) -> bool:
+        """Whether the choice still holds after a wait: the endpoint takes requests, with the same salt."""
         listed = self.router.fleet.endpoints.get(self.endpoint.id)
-        return listed is not None and not listed.draining and not listed.moving
+        if listed is None or listed.draining or listed.moving:
+            return False
+        return self.salt is None or self.selection.is_in_force(self.salt, listed)
 
     async def run(self) -> Proof:
         """Sends the request and relays its answer."""
@@ -168,7 +170,7 @@
             return None
         self.count("connected")
         progress.connection = connection
-        if not (progress.client_left or progress.expired) and self.still_there() and self.sent_on(connection):
+        if not (progress.client_left or progress.expired) and self.may_go_out() and self.sent_on(connection):
             return connection
         progress.failed_connects += 1
         return None
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -8,7 +8,7 @@
 from plumline.router.admission import TRACKED_TOKENS, Request
 from plumline.router.progress import RETRY_AFTER_RANGE_S, Progress
 from plumline.router.router_state import RouterState, address_text
-from plumline.routing.cache_salt import Salt, salt_for
+from plumline.routing.cache_salt import Salt, cache_owner_of, salt_for
 from plumline.routing.endpoint_scoring import Candidate, choose, expected_ms
 from plumline.routing.fleet import Address, Endpoint
 from plumline.routing.mechanisms import MECHANISMS
@@ -127,16 +127,31 @@
 
     def salt_at(self, endpoint: Endpoint, look: ChoiceContext) -> Salt | None:
         """The salt for the version of the weights there; None where that is not known."""
-        router, model = self.router, self.request.prompt.model
-        version = router.version_at(endpoint, model) if model else None
+        version = self.version_at(endpoint)
         if version is None:
             return None
         salt = look.salts.get(version)
         if salt is None:
-            generation = router.fleet.state.shared_cache_generation if router.fleet.state else 0
-            salt = look.salts[version] = salt_for(version, generation, self.request.isolated)
+            salt = look.salts[version] = self.salt_of(version)
         return salt
 
+    def is_in_force(self, salt: Salt, endpoint: Endpoint) -> bool:
+        """Whether the salt, of an earlier choice, is still the one for this endpoint."""
+        version = self.version_at(endpoint)
+        return version is not None and salt == self.salt_of(version)
+
+    def version_at(self, endpoint: Endpoint) -> int | None:
+        """The version there of the weights that the request is for; None where that is not known."""
+        model = self.request.prompt.model
+        return self.router.version_at(endpoint, model) if model else None
+
+    def salt_of(self, version: int) -> Salt:
+        """The salt for this version of the weights, by the configuration in force now: the request may have
+        been admitted by an earlier one."""
+        fleet = self.router.fleet
+        generation = fleet.state.shared_cache_generation if fleet.state else 0
+        return salt_for(version, generation, cache_owner_of(self.request.tenant, fleet.table))
+
     # What each would cost.
 
     def candidate(self, endpoint: Endpoint, salt: Salt | None, look: ChoiceContext) -> Candidate:
--- a/plumline/router/subscriber.py
+++ b/plumline/router/subscriber.py
@@ -303,11 +303,14 @@
         if self.fleet.state is None and self.lag.began_at is not None:
             return
         changed = state.configuration is not previous.configuration or self.fleet.table is None
-        self.fleet.state, self.fleet.place = state, index
+        table = self.fleet.table
         if changed and state.configuration is not None:
-            self.fleet.table = self._route_table(state.configuration, change)
-            routes = self.fleet.table.route_count
-            log.info(logs.event("configuration", version=state.version, place=index, routes=routes))
+            table = self._route_table(state.configuration, change)
+            log.info(
+                logs.event("configuration", version=state.version, place=index, routes=table.route_count)
+            )
+        # Both at once: requests put together what they take from the state and from its table.
+        self.fleet.state, self.fleet.table, self.fleet.place = state, table, index
         self.fleet.tell("configuration")
 
     def _route_table(self, document: Document, change: list[Any] | None) -> RouteTable:
--- a/plumline/routing/cache_salt.py
+++ b/plumline/routing/cache_salt.py
@@ -1,14 +1,18 @@
 """Under which text an endpoint keeps a prompt's parts, and which version of the weights goes with it.
 
-STALE and WALL hold by construction: the salt names the version, the tenant where it is isolated, else the
-generation of the shared prefix cache, and it leaves this module only together with the same version for
-`Expect-Version`.
+STALE and WALL hold by construction: the salt names the version, the tenant where it uses a cache of its own,
+else the generation of the shared prefix cache, and it leaves this module only together with the same version
+for `Expect-Version`. Which generation is in force, and who shares it, are taken from the same configuration:
+a generation begins without the tenants that are isolated then, though an older configuration let them share.
 """
 
 import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from plumline.configuration.entities import Tenant
+from plumline.configuration.route_table import RouteTable
+
 NAMED_SHARE = 0.6  # of VersionApplyMs, in which endpoints of the older version may still be used
 
 
@@ -20,11 +24,22 @@
     version: int
 
 
-def salt_for(version: int, shared_generation: int, isolated: str | None) -> Salt:
-    """`isolated` is the tenant's name where it is an isolated one."""
-    return Salt(
-        f"v{version}t:{isolated}" if isolated is not None else f"v{version}w{shared_generation}", version
-    )
+def salt_for(version: int, shared_generation: int, cache_owner: str | None) -> Salt:
+    """`cache_owner`: see `cache_owner_of`; by the same configuration as the generation."""
+    if cache_owner is not None:
+        return Salt(f"v{version}t:{cache_owner}", version)
+    return Salt(f"v{version}w{shared_generation}", version)
+
+
+def cache_owner_of(tenant: Tenant | None, table: RouteTable) -> str | None:
+    """The name of the tenant that alone may use what its request leaves, by this table; None: it is shared.
+
+    A request without a tenant shares. One of a tenant that is no longer listed does not: the tenant may come
+    back isolated.
+    """
+    if tenant is None or table.shares_cache(tenant.name):
+        return None
+    return tenant.name
 
 
 class NamedVersions:
--- /dev/null
+++ b/tests/test_isolation.py
@@ -0,0 +1,210 @@
+"""Isolated tenants: whose memory a request can find while tenants become isolated, shared, or are dropped."""
+
+import asyncio
+from collections import defaultdict
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plumline.configuration.document import Document
+from plumline.configuration.entities import Tenant
+from plumline.configuration.replicated_state import ReplicatedConfiguration
+from plumline.configuration.route_table import RouteTable
+from plumline.router.upstream import UpstreamConnection
+from plumline.routing.cache_salt import cache_owner_of, salt_for
+from plumline.routing.fleet import Address
+from tests.dispatch_world import FULL, LONG, MODEL, Act, Peer, Router, answer, document, made, stream, within
+
+HALL, LIBRARY = "hall", "library"
+LONG_SHARED_PARTS = {name.replace("-", "_"): value for name, value in LONG.items()}
+SHORT = {name.replace("-", "_"): value for name, value in MODEL.items()}
+
+
+def tenants(**isolated: bool) -> list[Document]:
+    return [{"Name": name, "ApiKeys": [f"key-{name}"], "Isolated": value} for name, value in isolated.items()]
+
+
+BOTH_SHARE = tenants(hall=False, library=False)
+LIBRARY_ISOLATED = tenants(hall=False, library=True)
+LIBRARY_DROPPED = tenants(hall=False)
+
+
+class Operator:
+    """Puts configurations in force at a router, as its feed does."""
+
+    def __init__(self, router: Router, **route: object) -> None:
+        self.router, self.route, self.state = router, route, ReplicatedConfiguration()
+
+    def set_tenants(self, listed: list[Document]) -> None:
+        version = self.state.version + 1
+        new = document(**self.route) | {"Version": version, "Tenants": listed}
+        self.state = self.state.apply(["replace", version - 1, new])
+        fleet = self.router.fleet
+        fleet.state, fleet.table = self.state, RouteTable(new)
+        fleet.tell("configuration")
+
+
+async def router_and_operator(*peers: Peer, **route: object) -> tuple[Router, Operator]:
+    router = await made(document(**route) | {"Tenants": BOTH_SHARE}, *peers)
+    operator = Operator(router, **route)
+    operator.set_tenants(BOTH_SHARE)
+    return router, operator
+
+
+# Guards against the memory of a tenant that becomes isolated while its request waits (review/1, WALL).
+@pytest.mark.parametrize("listed", [LIBRARY_ISOLATED, LIBRARY_DROPPED], ids=["isolated", "dropped"])
+def test_a_request_that_waits_while_its_tenant_leaves_the_shared_cache_uses_its_own(
+    listed: list[Document],
+) -> None:
+    async def work() -> None:
+        first_piece = asyncio.Event()
+        slow = stream(first_piece, b"data: 1\n\n")
+        peers = [Peer(name, slow, stream(b"data: 2\n\n")) for name in ("e0", "e1")]
+        route = {"Kind": "streaming", "TargetLatencyMs": 20_000, "TimeoutMs": 30_000}
+        router, operator = await router_and_operator(*peers, **route)
+        of_hall = asyncio.ensure_future(router.ask(X_Api_Key="key-hall", **LONG_SHARED_PARTS))
+        while not any(each.heads for each in peers):
+            await asyncio.sleep(0)
+        of_library = asyncio.ensure_future(
+            router.ask(Attempt_Id="id-2", X_Api_Key="key-library", **LONG_SHARED_PARTS)
+        )
+        while not router.counters.get("request-waited-for-reading"):
+            await asyncio.sleep(0)
+        operator.set_tenants(listed)
+        first_piece.set()
+        assert [(await each)[0] for each in (of_hall, of_library)] == [200, 200]
+        salts = {head["tenant-name"]: head["cache-salt"] for each in peers for head in each.heads}
+        assert salts == {HALL: "v1w0", LIBRARY: "v1t:library"}
+
+    within(work())
+
+
+# Guards against the same in a second send, which may follow the admission by seconds.
+def test_a_second_attempt_after_its_tenant_became_isolated_uses_its_own_cache() -> None:
+    async def work() -> None:
+        operator: Operator
+
+        async def isolate_and_refuse(peer: Peer, head: dict[str, str], writer: asyncio.StreamWriter) -> None:
+            operator.set_tenants(LIBRARY_ISOLATED)
+            for each in peers:
+                each.acts = [answer()]
+            await FULL(peer, head, writer)
+
+        peers = [Peer(name, isolate_and_refuse) for name in ("e0", "e1")]
+        router, operator = await router_and_operator(*peers)
+        assert (await router.ask(X_Api_Key="key-library", **SHORT))[0] == 200
+        assert sorted(head["cache-salt"] for each in peers for head in each.heads) == ["v1t:library", "v1w0"]
+
+    within(work())
+
+
+# Guards against the same where the system resumes a stream, which may follow the admission by seconds too.
+def test_a_stream_resumed_after_its_tenant_became_isolated_uses_its_own_cache() -> None:
+    async def work() -> None:
+        operator: Operator
+
+        async def isolate_and_cut(peer: Peer, head: dict[str, str], writer: asyncio.StreamWriter) -> None:
+            operator.set_tenants(LIBRARY_ISOLATED)
+            for each in peers:
+                each.acts = [rest]
+            await stream(b"id: 1\ndata: a\n\n", ends=False)(peer, head, writer)
+
+        rest: Act = stream(b"id: 2\ndata: b\n\n")
+        peers = [Peer(name, isolate_and_cut) for name in ("e0", "e1")]
+        router, operator = await router_and_operator(*peers, Kind="streaming", Resumable=True)
+        assert (await router.ask(X_Api_Key="key-library", **SHORT))[0] == 200
+        assert sorted(head["cache-salt"] for each in peers for head in each.heads) == ["v1t:library", "v1w0"]
+
+    within(work())
+
+
+# Guards against a change in the time that a connection takes, between the choice of an endpoint and the send.
+def test_a_request_whose_tenant_becomes_isolated_while_it_connects_uses_its_own_cache() -> None:
+    async def work() -> None:
+        peer = Peer("e0", answer())
+        router, operator = await router_and_operator(peer)
+        connect = router.dispatcher.pool.connect
+
+        async def connect_late(key: str, address: Address) -> UpstreamConnection:
+            connection = await connect(key, address)
+            operator.set_tenants(LIBRARY_ISOLATED)
+            router.dispatcher.pool.connect = connect  # type: ignore[method-assign]
+            return connection
+
+        router.dispatcher.pool.connect = connect_late  # type: ignore[method-assign]
+        assert (await router.ask(X_Api_Key="key-library", **SHORT))[0] == 200
+        assert [head["cache-salt"] for head in peer.heads] == ["v1t:library"]
+
+    within(work())
+
+
+def test_a_request_that_waits_while_its_tenant_begins_to_share_uses_the_shared_cache() -> None:
+    async def work() -> None:
+        operator: Operator
+
+        async def share_and_refuse(peer: Peer, head: dict[str, str], writer: asyncio.StreamWriter) -> None:
+            operator.set_tenants(BOTH_SHARE)
+            for each in peers:
+                each.acts = [answer()]
+            await FULL(peer, head, writer)
+
+        peers = [Peer(name, share_and_refuse) for name in ("e0", "e1")]
+        router, operator = await router_and_operator(*peers)
+        operator.set_tenants(LIBRARY_ISOLATED)
+        assert (await router.ask(X_Api_Key="key-library", **SHORT))[0] == 200
+        assert sorted(head["cache-salt"] for each in peers for head in each.heads) == ["v1t:library", "v1w1"]
+
+    within(work())
+
+
+# Any history of tenants, with routers that lag behind and requests that are sent long after their admission.
+
+NAMES = ("a", "b", "c")
+#: Of each tenant: not listed, sharing, or isolated.
+LISTINGS = st.lists(st.sampled_from([None, False, True]), min_size=len(NAMES), max_size=len(NAMES))
+ROUTERS = 2
+
+
+def states_of(listings: list[list[bool | None]]) -> list[tuple[ReplicatedConfiguration, RouteTable]]:
+    """The state and the table after each configuration."""
+    state, found = ReplicatedConfiguration(), []
+    for version, listing in enumerate(listings, 1):
+        listed = {name: value for name, value in zip(NAMES, listing, strict=True) if value is not None}
+        new = {"Version": version, "Tenants": tenants(**listed)}
+        state = state.apply(["replace", version - 1, new])
+        found.append((state, RouteTable(new)))
+    return found
+
+
+@given(
+    listings=st.lists(LISTINGS, min_size=1, max_size=6),
+    steps=st.lists(
+        st.tuples(st.integers(0, ROUTERS - 1), st.integers(0, 2), st.sampled_from(NAMES), st.integers(0, 5)),
+        max_size=30,
+    ),
+)
+def test_no_history_lets_a_request_find_what_an_isolated_tenant_made(
+    listings: list[list[bool | None]], steps: list[tuple[int, int, str, int]]
+) -> None:
+    """A step: a router goes on by some configurations, then sends a request of a tenant that was admitted
+    some configurations before. Judged where the router has the newest configuration that any router has: one
+    that lags is bounded by ConfigurationApplyMs.
+    """
+    states = states_of(listings)
+    at = [0] * ROUTERS
+    made_by: defaultdict[str, set[str]] = defaultdict(set)  # tenants by salt
+    for router, advance, name, age in steps:
+        at[router] = min(at[router] + advance, len(states) - 1)
+        admitted: Any = states[max(at[router] - age, 0)][1].tenant_of(f"key-{name}")
+        if admitted is None:
+            continue
+        state, table = states[at[router]]
+        salt = salt_for(1, state.shared_cache_generation, cache_owner_of(admitted, table)).text
+        isolated = {each for each in NAMES if table.tenant_of(f"key-{each}") == Tenant(each, isolated=True)}
+        others = made_by[salt] - {name}
+        if at[router] == max(at):
+            assert not (others and name in isolated), "an isolated tenant finds what others made"
+            assert not others & isolated, "what an isolated tenant made is found"
+        made_by[salt].add(name)
