--- a/plumline/lab/flood.py
+++ b/plumline/lab/flood.py
@@ -14,8 +14,9 @@
 from typing import Any
 
 from plumline.errors import UnavailableError
-from plumline.lab.clients import Breach, Class, Clients, Sent, Tally, judge_all
+from plumline.lab.clients import Class, Clients, Sent, Tally
 from plumline.lab.engine import Engine, Run, Shape
+from plumline.lab.judge import Breach, judge_all
 from plumline.lab.local import (
     BOUNDS,
     Ports,
--- a/plumline/lab/local.py
+++ b/plumline/lab/local.py
@@ -16,8 +16,9 @@
 
 from plumline.errors import UnavailableError
 from plumline.lab import CallError, fetch
-from plumline.lab.clients import Breach, Class, Clients, Tally, judge_all
+from plumline.lab.clients import Class, Clients, Tally
 from plumline.lab.engine import Engine, Shape
+from plumline.lab.judge import Breach, judge_all
 from plumline.lab.operator import Operator
 from plumline.lab.platform import Platform
 from plumline.lab.store import CacheStore
--- a/plumline/lab/soak/judge.py
+++ b/plumline/lab/soak/judge.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from plumline.lab.clients import Breach
+from plumline.lab.judge import Breach
 from plumline.lab.soak.faults import FaultPeriod
 
 LATE_REQUEST_S = 3.0  # after SIGTERM: no request sent later may be cut, however late the cut
--- a/plumline/lab/soak/runner.py
+++ b/plumline/lab/soak/runner.py
@@ -7,15 +7,15 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Coroutine, Iterable
+from collections.abc import Iterable
 from contextlib import AsyncExitStack, suppress
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
 from plumline.errors import UnavailableError
-from plumline.lab.clients import Breach, judge, judge_orders
 from plumline.lab.engine import Engine, Shape
+from plumline.lab.judge import Breach, judge, judge_orders
 from plumline.lab.local import (
     BOUNDS,
     Machine,
@@ -30,20 +30,17 @@
 from plumline.lab.operator import Operator
 from plumline.lab.platform import Platform
 from plumline.lab.soak.clients import Front, PersistentClient, PersistentOperator
-from plumline.lab.soak.faults import Fault, FaultPeriod, FaultStep, draw_faults
-from plumline.lab.soak.judge import Evidence, Shutdown, judge_lost
+from plumline.lab.soak.faults import Fault, FaultStep, draw_faults
+from plumline.lab.soak.judge import Evidence, judge_lost
 from plumline.lab.soak.plan import Action, Step, draw_plan
+from plumline.lab.soak.supervisor import GRACE_S, Supervisor
 
 ENGINES = 3
 SLOTS = (6, 16, 64)  # of an endpoint; few make requests queue there and be rejected
 ROUTE_TIMEOUT_S = 8.0
 READY_S = 60.0
-RESTART_S = (0.0, 1.0)  # from a process's end to its next start
 RELEASE_EXTRA_S = 3.0  # beyond DrainMs, after which an endpoint that drains ends
 LAG_INTERVAL_S = 0.05
-GRACE_S = float(BOUNDS["GracePeriodS"])
-KILLED = -signal.SIGKILL
-TERMINATED = -signal.SIGTERM
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,130 +84,6 @@
         return "\n".join([line, *(f"  {each.rule} {each.id}: {each.text}" for each in self.breaches)])
 
 
-class Supervisor:
-    """One process that is started again whenever it ends, as the platform does."""
-
-    def __init__(self, process: Process, settings: dict[str, Any], rng: random.Random) -> None:
-        self.process, self.settings, self.rng = process, settings, rng
-        self.shutdowns: list[Shutdown] = []
-        self.breaches: list[Breach] = []
-        self.draining = False
-        self.log_offset = 0  # bytes of its log when it was started last
-        self.tasks: set[asyncio.Task[None]] = set()
-        self.faults: list[FaultPeriod] = []
-
-    @property
-    def name(self) -> str:
-        """Of its machine."""
-        return self.process.machine.name
-
-    async def start(self) -> None:
-        """Starts the process."""
-        self.log_offset = self.process.log.stat().st_size if self.process.log.exists() else 0
-        await self.process.start(self.settings)
-        self.settings["FirstStart"] = False
-        self.draining = False
-        for fault in self.faults:
-            fault.ended_at = min(fault.ended_at, time.monotonic())
-
-    def signal(self, number: signal.Signals) -> bool:
-        """Sends the signal; False if there is no process now."""
-        child = self.process.child
-        if child is None or child.returncode is not None:
-            return False
-        child.send_signal(number)
-        return True
-
-    def terminate(self) -> None:
-        """SIGTERM; the first one to a process also sees to its end and the next start."""
-        if not self.signal(signal.SIGTERM) or self.draining:
-            return
-        self.draining = True
-        now = time.monotonic()
-        has_fault = any(fault.ended_at > now for fault in self.faults)
-        shutdown = Shutdown(now, disturbed=has_fault)
-        self.shutdowns.append(shutdown)
-        self._begin(self._restart(shutdown))
-
-    def _begin(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    def kill(self, down_s: float, *, loses_disk: bool) -> None:
-        """SIGKILL, and a new start; one that is shutting down starts as it would have anyway."""
-        if not self.signal(signal.SIGKILL):
-            return
-        self.faults.append(FaultPeriod(time.monotonic()))
-        self._disturb_shutdown()
-        if not self.draining:
-            self.draining = True  # it has no process now
-            self._begin(self._start_after(down_s, loses_disk=loses_disk))
-
-    async def _start_after(self, down_s: float, *, loses_disk: bool) -> None:
-        child = self.process.child
-        assert child is not None
-        await child.wait()
-        if loses_disk:
-            shutil.rmtree(self.settings["DataDirectory"], ignore_errors=True)
-        await asyncio.sleep(down_s)
-        await self.start()
-
-    def freeze(self, seconds: float) -> None:
-        """SIGSTOP, and SIGCONT after so many seconds."""
-        child = self.process.child
-        if child is None or not self.signal(signal.SIGSTOP):
-            return
-        period = FaultPeriod(time.monotonic())
-        self.faults.append(period)
-        self._disturb_shutdown()
-        self._begin(self._thaw_after(seconds, child, period))
-
-    async def _thaw_after(
-        self, seconds: float, child: asyncio.subprocess.Process, period: FaultPeriod
-    ) -> None:
-        await asyncio.sleep(seconds)
-        if child.returncode is None:
-            child.send_signal(signal.SIGCONT)
-        period.ended_at = time.monotonic()
-
-    def _disturb_shutdown(self) -> None:
-        if self.draining and self.shutdowns:
-            self.shutdowns[-1].disturbed = True
-
-    async def _restart(self, shutdown: Shutdown) -> None:
-        await self._wait_for_end(shutdown)
-        await asyncio.sleep(self.rng.uniform(*RESTART_S))
-        await self.start()
-
-    async def _wait_for_end(self, shutdown: Shutdown) -> None:
-        child = self.process.child
-        assert child is not None
-        try:
-            status = await asyncio.wait_for(child.wait(), GRACE_S)
-        except TimeoutError:
-            child.kill()
-            status = await child.wait()
-        shutdown.exited_at = time.monotonic()
-        if shutdown.disturbed or status == 0 or (status == TERMINATED and not self.has_started()):
-            return
-        why = "it had not ended when the grace period was over" if status == KILLED else f"exit {status}"
-        self.breaches.append(Breach("EXIT", self.name, why))
-
-    def has_started(self) -> bool:
-        """Whether the present process has said that it serves."""
-        with self.process.log.open("rb") as log:
-            log.seek(self.log_offset)
-            return b"event=started" in log.read()
-
-    async def stop(self) -> None:
-        """Ends the process for good, and with it all that was to be done with it."""
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        await self.process.stop()
-
-
 class Soak:
     """One seed."""
 
--- a/tests/test_lab_engine.py
+++ b/tests/test_lab_engine.py
@@ -7,8 +7,9 @@
 import pytest
 
 from plumline.lab import CallError, GarbledAnswerError, fetch
-from plumline.lab.clients import judge, whole_stream
+from plumline.lab.clients import whole_stream
 from plumline.lab.engine import Engine, Fault, Shape, body_hash
+from plumline.lab.judge import judge
 from plumline.lab.store import CacheStore, Kept, Part
 from tests.lab_stand import BODY, SPEED, ask, order, play, sent, serving
 
--- a/tests/test_lab_judge.py
+++ b/tests/test_lab_judge.py
@@ -5,8 +5,9 @@
 
 import pytest
 
-from plumline.lab.clients import Class, Clients, judge, judge_orders, whole_stream
+from plumline.lab.clients import Class, Clients, whole_stream
 from plumline.lab.engine import Engine, Fault, Order, Run, body_hash
+from plumline.lab.judge import judge, judge_orders
 from tests.lab_stand import BODY, SPEED, play, sent, serving
 
 # --- the judge
