--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -236,9 +236,14 @@
         (folder / name).write_text("")
     (folder / ".venv/installed").write_text("")
     (folder / ".venv/installed-dev").write_text("")
-    for name, body in (("python", f'exec {sys.executable} "$@"'), ("ruff", "exit 0")):
-        (folder / ".venv/bin" / name).write_text(f"#!/bin/sh\n{body}\n")
-        (folder / ".venv/bin" / name).chmod(0o755)
+    (folder / "bin").mkdir()
+    for name, body in (
+        (".venv/bin/python", f'exec {sys.executable} "$@"'),
+        (".venv/bin/ruff", "exit 0"),
+        ("bin/nproc", "echo 1"),  # one worker for three tests: six took half a minute on a busy machine
+    ):
+        (folder / name).write_text(f"#!/bin/sh\n{body}\n")
+        (folder / name).chmod(0o755)
     (folder / "tests").mkdir()
     (folder / "tests/test_it.py").write_text(
         "def test_well():\n    pass\n\ndef test_ill():\n    assert False\n\ndef test_well_too():\n    pass\n"
@@ -271,5 +276,6 @@
     tmp_path: Path, known_red: str, status: int, said: str
 ) -> None:
     checkout(tmp_path, known_red)
-    got = run([str(tmp_path / ".ci/run")], tmp_path, PYTEST_ADDOPTS="-p no:cacheprovider")
+    path = f"{tmp_path / 'bin'}:{os.environ['PATH']}"
+    got = run([str(tmp_path / ".ci/run")], tmp_path, PATH=path, PYTEST_ADDOPTS="-p no:cacheprovider")
     assert (got.returncode, said in got.stdout + got.stderr) == (status, True), got.stdout + got.stderr
