--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -9,7 +9,7 @@
 
 import ormsgpack
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from plumline.counters import Counters
@@ -187,6 +187,7 @@
 )
 
 
+@settings(deadline=None)  # of wall time, which says nothing on a busy machine
 @given(MESSAGES, st.integers(1, 5000), st.randoms(use_true_random=False))
 def test_whatever_the_cuts_the_messages_come_whole_and_in_order(
     messages: list[list[Any]], most: int, chance: random.Random
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from plumline.configuration.document import Document
@@ -18,6 +18,7 @@
 from tests.dispatch_world import FULL, LONG, MODEL, Act, Peer, Router, answer, document, made, stream, within
 
 HALL, LIBRARY = "hall", "library"
+CONNECT_TIMEOUT_S = 5.0  # a busy machine takes longer than a router waits
 LONG_SHARED_PARTS = {name.replace("-", "_"): value for name, value in LONG.items()}
 SHORT = {name.replace("-", "_"): value for name, value in MODEL.items()}
 
@@ -47,7 +48,9 @@
 
 
 async def router_and_operator(*peers: Peer, **route: object) -> tuple[Router, Operator]:
+    route = {"TimeoutMs": 9000} | route
     router = await made(document(**route) | {"Tenants": BOTH_SHARE}, *peers)
+    router.dispatcher.pool.connect_timeout = CONNECT_TIMEOUT_S
     operator = Operator(router, **route)
     operator.set_tenants(BOTH_SHARE)
     return router, operator
@@ -178,6 +181,7 @@
     return found
 
 
+@settings(deadline=None)
 @given(
     listings=st.lists(LISTINGS, min_size=1, max_size=6),
     steps=st.lists(
