Records of roll-outs of service versions in the replicated state

One record a service: target, duration, stage, the highest term that has recorded a stage, and the versions that were taken back. Stages only go forward, the last two are final, and a decision of an earlier term is refused.

The changes travel within one of model versions that names no model, so that releases without roll-outs can follow a log that holds one; a state without roll-outs is stored byte for byte as before.

--- a/plumline/configuration/replicated_state.py
+++ b/plumline/configuration/replicated_state.py
@@ -2,7 +2,8 @@
 
 The chain orders the changes; every replica applies them in this order and comes to the same state. A change
 is a plain list that a frame carries:
-["replace", based_on, body], ["amend", based_on, body] or ["weights", {"Model": str, "Version": int}].
+["replace", based_on, body], ["amend", based_on, body] or ["weights", {"Model": str, "Version": int}]; those
+of roll-outs of service versions are of the last kind, see `service_rollouts`.
 """
 
 from collections.abc import Sequence
@@ -18,6 +19,12 @@
 from plumline.configuration.document import Document, change_digest
 from plumline.configuration.history import History, HistoryInvalidError, HistoryMatch
 from plumline.configuration.rules import NAME, fault_line, integer
+from plumline.configuration.service_rollouts import (
+    AdvanceRollout,
+    ServiceRollouts,
+    StartRollout,
+    rollout_change,
+)
 from plumline.errors import ConfigurationInvalidError, PlumlineError, UnavailableError
 
 Change = Sequence[Any]
@@ -39,6 +46,7 @@
     shared_cache_generation: int = 0  # rises when a tenant leaves the prefix cache that tenants share
     history: History = field(default_factory=History)  # the changes that led here, to recognise repeats
     departed_tenants: frozenset[str] = frozenset()  # no longer listed, with prompts in the shared cache
+    rollouts: ServiceRollouts = field(default_factory=ServiceRollouts)  # of service versions
 
     @property
     def version(self) -> int:
@@ -48,9 +56,10 @@
     def check(self, change: Change) -> bool:
         """True if exactly this change was applied already (it has no effect), False if it can be applied.
 
-        Raises ConfigurationInvalidError or VersionConflictError where no later state will accept the change;
-        UnavailableError where that can't be known: it builds on a version that has been forgotten, on one
-        that is not in place yet, or on a model that no configuration names yet.
+        Raises ConfigurationInvalidError, VersionConflictError, RolloutInvalidError or RolloutConflictError
+        where no later state will accept the change; UnavailableError where that can't be known: it builds on
+        a version that has been forgotten, on one that is not in place yet, or on a model that no
+        configuration names yet.
         """
         match list(change):
             case ["weights", dict(named)]:
@@ -81,6 +90,8 @@
         return found is HistoryMatch.APPLIED
 
     def _check_weights(self, named: Document) -> bool:
+        if (rollout := rollout_change(named)) is not None:
+            return self._check_rollout(rollout)
         model, version = named.get("Model"), named.get("Version")
         if not NAME.test(model):
             raise ConfigurationInvalidError(fault_line("Model", model, NAME.allowed))
@@ -94,6 +105,13 @@
             raise UnavailableError(f"the configuration names no model {model} yet")
         return False
 
+    def _check_rollout(self, change: StartRollout | AdvanceRollout) -> bool:
+        if isinstance(change, AdvanceRollout):
+            return self.rollouts.check_advance(change)
+        if self.configuration is None:
+            raise UnavailableError("there is no configuration yet")
+        return self.rollouts.check_start(change, service_names(self.configuration))
+
     def apply(self, change: Change) -> "ReplicatedConfiguration":
         """The state after a change for which `check` gave False on this very state; the same one on a repeat.
 
@@ -101,10 +119,18 @@
         change on top of another version raises VersionConflictError all the same.
         """
         if change[0] == "weights":
+            if (rollout := rollout_change(change[1])) is not None:
+                return self._with_rollout(rollout)
             return self._with_weights(change[1]["Model"], change[1]["Version"])
         kind, based_on, body = change
         return self._with_document_change(kind, based_on, body)
 
+    def _with_rollout(self, change: StartRollout | AdvanceRollout) -> "ReplicatedConfiguration":
+        if isinstance(change, StartRollout):
+            return replace(self, rollouts=self.rollouts.with_start(change))
+        advanced = self.rollouts.with_advance(change)
+        return self if advanced is self.rollouts else replace(self, rollouts=advanced)
+
     def _with_weights(self, model: str, version: int) -> "ReplicatedConfiguration":
         if version <= self.weight_versions.get(model, 0):
             return self
@@ -134,13 +160,16 @@
 
         Without `history` for a subscriber, which never has to recognise a repeat.
         """
-        return {
+        wire = {
             "configuration": self.configuration,
             "versions": self.weight_versions,
             "wall": self.shared_cache_generation,
             "history": (self.history if history else History(horizon=self.version)).to_wire(),
             "departed": sorted(self.departed_tenants),
         }
+        if self.rollouts.records:
+            wire["rollouts"] = self.rollouts.to_wire()
+        return wire
 
     @classmethod
     def from_wire(cls, wire: object) -> "ReplicatedConfiguration":
@@ -153,7 +182,8 @@
                 "departed": list(departed),
             }:
                 history = _history_from_wire(wire)
-                return cls(configuration, weight_versions, generation, history, frozenset(departed))
+                rollouts = _rollouts_from_wire(wire)
+                return cls(configuration, weight_versions, generation, history, frozenset(departed), rollouts)
         raise ReplicatedStateInvalidError(
             "not a state: configuration, versions, wall, history and departed are needed"
         )
@@ -171,6 +201,20 @@
     raise ReplicatedStateInvalidError("a state without its history")
 
 
+def _rollouts_from_wire(wire: dict[str, Any]) -> ServiceRollouts:
+    """The roll-outs of a state; earlier releases stored none."""
+    try:
+        return ServiceRollouts.from_wire(wire.get("rollouts", {}))
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ReplicatedStateInvalidError(f"not the roll-outs of a state: {error}") from error
+
+
+def service_names(document: Document | None) -> frozenset[str]:
+    """Names of the services that the document lists."""
+    services = document.get("Services", ()) if document else ()
+    return frozenset(service["Name"] for service in services)
+
+
 def tenant_names(document: Document | None, isolated: bool) -> frozenset[str]:
     """Names of the tenants that are, or are not, Isolated."""
     tenants = document.get("Tenants", ()) if document else ()
