Routers tell a version on trial from those in service, and bound what it gets

Cause: the Version of the platform's list was not read.

A version on trial gets what a fresh grant allows, and nothing without one; one that was reverted, or that a completed roll-out replaced, gets nothing. Routers count answers and bad ones by endpoint and route and report totals to their primary. The list's versions are logged when they change.

The frozen forms read two files more: the bounds that were added, and the feature that registrars name; recorded files are as they were. The page of the platform's list has its version in the item that routers get.

--- a/plumline/coordination/failure_detector.py
+++ b/plumline/coordination/failure_detector.py
@@ -20,7 +20,9 @@
 FEATURES_KIND = "features"  # of the messages that name what a registrar's release can do, and where it runs
 #: Views with a base are understood, and activated.
 VIEW_ACTIVATION = "view-activation"
-LOCAL_FEATURES = (VIEW_ACTIVATION,)
+#: Records of roll-outs of service versions are understood and kept.
+SERVICE_ROLLOUTS = "service-rollouts"
+LOCAL_FEATURES = (VIEW_ACTIVATION, SERVICE_ROLLOUTS)
 FEATURES_INTERVAL_PINGS = 6  # between two messages that name them
 #: A peer that has sent so many pings without naming its features is of a release that has none.
 MAX_PINGS_WITHOUT_FEATURES = 24
--- a/plumline/registrar/discovery.py
+++ b/plumline/registrar/discovery.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple, Protocol
 from urllib.parse import urlencode
 
+from plumline import logs
 from plumline.errors import PlumlineError
 from plumline.registrar.wakeups import Wait, wait_for
 from plumline.routing.fleet_state import ListedEndpoint
@@ -31,6 +32,9 @@
 MALFORMED_BODY_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
+log = logs.logger("registrar")
+
+
 class ListInvalidError(PlumlineError):
     """The platform's answer is no page of a list of endpoints."""
 
@@ -112,6 +116,7 @@
         draining=item.get(calls.STATE, "ready") == "draining",
         cold_ms=float(item.get(calls.COLD_REMAINING_MS) or 0),
         models=parse_model_versions(item.get(calls.MODELS)),
+        version=str(item.get(calls.VERSION) or ""),
     )
 
 
@@ -140,6 +145,15 @@
     return {endpoint.id: endpoint._replace(cold_ms=float(endpoint.cold_ms > 0)) for endpoint in endpoints}
 
 
+def versions_by_service(endpoints: Sequence[ListedEndpoint]) -> dict[str, str]:
+    """The software versions that a list shows, by service: "v1,v2"."""
+    found: dict[str, set[str]] = {}
+    for endpoint in endpoints:
+        if endpoint.version:
+            found.setdefault(endpoint.service, set()).add(endpoint.version)
+    return {service: ",".join(sorted(versions)) for service, versions in sorted(found.items())}
+
+
 class EndpointDiscovery:
     """Reads the list again and again while the environment allows it, and publishes complete lists only."""
 
@@ -168,6 +182,7 @@
         self.next_call_at = 0.0  # the platform's rate allows no call before
         self.published: dict[str, ListedEndpoint] | None = None  # comparable form, since the lease was won
         self.published_at = 0.0
+        self.versions: dict[str, str] = {}  # of the last list, for the log
         self._event = asyncio.Event()
         self._never = asyncio.Event()
 
@@ -230,6 +245,13 @@
         if listed != self.published or now >= self.published_at + REPUBLISH_INTERVAL_S:
             self.published, self.published_at = listed, now
             self.environment.publish(endpoints)
+            self._log_versions(versions_by_service(endpoints))
+
+    def _log_versions(self, versions: dict[str, str]) -> None:
+        for service, listed in versions.items():
+            if listed != self.versions.get(service):
+                log.info(logs.event("versions", service=service, listed=listed))
+        self.versions = versions
 
     async def fetch_endpoints(self) -> list[ListedEndpoint]:
         """The complete list. Nothing of a read that fails is used.
--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -1,6 +1,7 @@
 """One try at one endpoint: what goes with it, its answer relayed, and what its end proved."""
 
 from dataclasses import replace
+from enum import Enum
 
 import h11
 
@@ -31,6 +32,7 @@
 from plumline.routing.endpoint_scoring import Candidate, expected_ms
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.outcomes import Call
+from plumline.routing.rollout_evidence import TimedAnswer
 
 SHUNNED = 1.0  # s without sends to an endpoint whose weights turned out to be others than known
 PROMISES = frozenset((408, 421, 429, 503))  # a client takes these for 'has not run and never will'
@@ -54,6 +56,7 @@
         return await send.run()
     finally:
         load.running -= 1
+        send.count_for_rollout()
         send.finished()
         router.outcomes.nothing(call)  # if its end hasn't said more
         if progress.connection:
@@ -66,6 +69,15 @@
     return replace(candidate, unread=0.0, running=0, excess_ms=0.0)
 
 
+class Ending(Enum):
+    """What the end of a send says of the version that its endpoint runs."""
+
+    NOTHING = "nothing"  # it was not run, or was turned away
+    WELL = "well"  # unless it was slow
+    FAILED = "failed"
+    CUT_SHORT = "cut-short"  # by its client, or by the end of its time after a first piece
+
+
 class Send:
     """One try at one endpoint."""
 
@@ -81,6 +93,7 @@
         self.told = False
         self.began = 0.0
         self.wrote = False  # a piece of this answer's body has come
+        self.ending = Ending.NOTHING
 
     def release(self) -> None:
         """The prompt has been read, or never will be."""
@@ -99,6 +112,26 @@
             self.router.tell(["done", self.number])
             self.number = 0
 
+    def count_for_rollout(self) -> None:
+        """Counts the end of the send for or against the version that its endpoint runs."""
+        if self.ending is Ending.NOTHING:
+            return
+        router, request = self.router, self.request
+        usual = replace(
+            self.candidate, excess_ms=0.0, read_rate=router.read_rates_of(request.service).typical()
+        )
+        answer = TimedAnswer(
+            service=request.service,
+            endpoint=self.endpoint.id,
+            route=request.route.name,
+            took_ms=(router.clock() - self.began) * 1000,
+            expected_ms=expected_ms(usual),
+            failed=self.ending is Ending.FAILED,
+            cut_short=self.ending is Ending.CUT_SHORT,
+            latency_target_ms=request.route.latency_target_ms,
+        )
+        router.rollout_evidence.observe(answer, router.version_gate.traffic(request.service))
+
     def place(self) -> None:
         """Tells the others of a long prompt, before it is sent: on a slow link the news would come behind the
         request's body, and another router would choose the same endpoint meanwhile."""
@@ -126,7 +159,7 @@
     def may_go_out(self) -> bool:
         """Whether the choice still holds after a wait: the endpoint takes requests, with the same salt."""
         listed = self.router.fleet.endpoints.get(self.endpoint.id)
-        if listed is None or listed.draining or listed.moving:
+        if listed is None or listed.draining or listed.moving or not self.router.version_gate.may_use(listed):
             return False
         return self.salt is None or self.selection.is_in_force(self.salt, listed)
 
@@ -234,6 +267,7 @@
     def broken(self) -> Proof:
         """The connection has ended without a whole answer."""
         progress, now = self.progress, self.router.clock()
+        self.ending = Ending.CUT_SHORT
         if progress.client_left:
             self.count("client-gone")
             return Proof.MAY_HAVE_RUN
@@ -242,12 +276,14 @@
             if not self.wrote:
                 self.router.outcomes.failed(self.call, now)
             return Proof.MAY_HAVE_RUN
+        self.ending = Ending.FAILED
         self.count("broken")
         self.router.outcomes.failed(self.call, now)
         return Proof.MAY_HAVE_RUN
 
     def spoilt(self, name: str) -> Proof:
         """What came is no answer to go on with, and it proves nothing."""
+        self.ending = Ending.FAILED
         self.count(name)
         self.router.outcomes.failed(self.call, self.router.clock(), error=True)
         return Proof.MAY_HAVE_RUN
@@ -373,7 +409,9 @@
         """The answer has come to its end, and so does the client's."""
         self.request.exchange.finish()
         self.count(f"answered-{status // 100}xx")
+        self.ending = Ending.WELL
         if status >= 500:
+            self.ending = Ending.FAILED
             self.router.outcomes.failed(self.call, self.router.clock(), error=True)
         else:
             self.router.outcomes.served(self.call, self.router.clock())
@@ -382,6 +420,7 @@
 
     def cut_off(self) -> Proof:
         """The client is gone, or its time was up while it didn't read."""
+        self.ending = Ending.CUT_SHORT
         self.count("client-gone" if self.progress.client_left else "unfinished")
         return Proof.ANSWERED
 
--- a/plumline/router/process.py
+++ b/plumline/router/process.py
@@ -35,6 +35,7 @@
         self.dispatcher = Dispatcher(settings, self.fleet, self.counters, self.loop.time, budget=self.budget)
         self.dispatcher.tell = self.subscriber.publish_prompt_event
         self.subscriber.local_loads = self.dispatcher.work_rates
+        self.subscriber.rollout_reports = self.dispatcher.rollout_reports
         self.subscriber.on_fleet_loads = self.dispatcher.told_work
         self.subscriber.on_prompt_events = self.dispatcher.told_news
         self.server = Server(
--- a/plumline/router/progress.py
+++ b/plumline/router/progress.py
@@ -32,6 +32,7 @@
     response_started: bool = False  # the head of an answer has gone to the client
     quota_exceeded: bool = False  # and not sent for it
     attempts: int = 0
+    trial_draw: float | None = None  # 0 to 1: below the share of a version on trial, it goes there
     failed_connects: int = 0  # connections that failed, or never carried it
     attempted: set[str] = field(default_factory=set)  # endpoints that were sent it, or couldn't be
     retry_after_s: float = RETRY_AFTER_RANGE_S[0]  # s that a refused client is told
--- a/plumline/router/router_state.py
+++ b/plumline/router/router_state.py
@@ -27,6 +27,9 @@
 from plumline.routing.prefix_homes import PrefixHomes
 from plumline.routing.read_rates import ServiceReadRates
 from plumline.routing.reserved_quota import Shares
+from plumline.routing.rollout_evidence import RolloutEvidence
+from plumline.routing.rollout_report import AnswerTally, ServiceReport
+from plumline.routing.version_gate import VersionGate
 from plumline.settings import Settings
 
 CONNECT_TIMEOUT = 0.3  # s
@@ -94,6 +97,8 @@
         self.stores: dict[str, StoreStatus] = {}  # what the core tells of stores, by name
         self.versions = NamedVersions(self.told_versions, bounds.version_apply_ms / 1000)
         self.shares = Shares(self.surge)
+        self.version_gate = VersionGate(clock)
+        self.rollout_evidence = RolloutEvidence()
         self.shortest_latency_targets: dict[str, float] = {}  # ms, by service
         self.by_service: dict[str, list[Endpoint]] = {}
         self.prefix_homes: dict[str, PrefixHomes] = {}  # by service
@@ -123,6 +128,9 @@
             self.told_stores(self.fleet.stores)
         elif topic == "endpoints":
             self.told_endpoints(self.fleet.endpoints)
+        elif topic == "grants":
+            self.version_gate.grant(self.fleet.grants)
+            self.set_usable()
         if self.fleet.table is not None and self.fleet.endpoints and not self.equipped.is_set():
             log.info(logs.event("equipped", endpoints=len(self.fleet.endpoints)))
             self.equipped.set()
@@ -133,6 +141,8 @@
         self.versions.look(self.clock())
         self.shares.set_reserved(table.reserved_shares if table else {})
         self.shortest_latency_targets = table.shortest_latency_targets() if table else {}
+        self.set_version_traffic()
+        self.set_usable()
 
     def told_endpoints(self, listed: dict[str, Endpoint]) -> None:
         """The endpoints have changed: what is known of those that are gone is forgotten."""
@@ -145,6 +155,7 @@
         self.by_service = {}
         for each in listed.values():
             self.by_service.setdefault(each.service, []).append(each)
+        self.set_version_traffic()
         self.set_usable()
         self.pool.sweep(now, listed)
         self.outcomes.age(listed, now)
@@ -153,11 +164,35 @@
             for key in [key for key in known if key not in listed]:
                 del known[key]
 
+    def set_version_traffic(self) -> None:
+        """Works out anew which versions of the services take requests."""
+        records = self.fleet.state.rollouts.records if self.fleet.state else {}
+        self.version_gate.update(self.by_service, records)
+        running = {name: each.target for name, each in records.items() if each.stage.running}
+        self.rollout_evidence.retain(running)
+
+    def rollout_reports(self, whole: bool) -> dict[str, ServiceReport]:
+        """What this router has seen of the roll-outs under way, by service; `whole`: not only changes."""
+        reports: dict[str, ServiceReport] = {}
+        for service, endpoints in self.by_service.items():
+            traffic = self.version_gate.traffic(service)
+            if traffic is None or traffic.target is None:
+                continue
+            others = [each.id for each in endpoints if each.version != traffic.target]
+            running = sum(self.loads[key].running for key in others if key in self.loads)
+            tallies = tuple(AnswerTally(*each) for each in self.rollout_evidence.take_report(service, whole))
+            reports[service] = ServiceReport(traffic.target, traffic.stage, running, tallies)
+        return reports
+
     def set_usable(self) -> None:
         """PrefixHomes and shares reckon with the endpoints that take requests."""
         counts: dict[str, int] = {}
         for service, endpoints in self.by_service.items():
-            usable = [each.id for each in endpoints if not (each.draining or each.moving)]
+            traffic = self.version_gate.traffic(service)
+            homes = traffic.homes() if traffic else frozenset()
+            usable = [
+                each.id for each in endpoints if each.id in homes and not (each.draining or each.moving)
+            ]
             self.prefix_homes.setdefault(service, PrefixHomes()).set_endpoints(usable)
             counts[service] = len(usable)
         self.shares.set_endpoints(counts)
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from plumline.configuration.entities import Service
+from plumline.configuration.service_rollouts import RolloutStage
 from plumline.prefix_cache.blocks import size_of
 from plumline.router.admission import TRACKED_TOKENS, Request
 from plumline.router.progress import RETRY_AFTER_RANGE_S, Progress
@@ -55,13 +56,45 @@
     def count_request(self, now: float) -> None:
         """Tells the breakers of all endpoints that a request has come which could go to any of them; once for
         each request, however often it is looked for an endpoint."""
-        endpoints = self.router.by_service.get(self.request.service, ())
-        self.router.outcomes.asked([each.id for each in endpoints], max(len(endpoints), 1), now)
+        traffic = self.router.version_gate.traffic(self.request.service)
+        usable = traffic.in_use() if traffic else frozenset()
+        self.router.outcomes.asked(usable, max(len(usable), 1), now)
 
     def pick(self, now: float) -> tuple[EndpointChoice | None, float]:
         """The endpoint to send to; if there is none, s until one may be ready (infinite: not by waiting)."""
+        picked, wait = None, math.inf
+        for allowed in self.allowed_endpoints():
+            picked, ready = self.pick_among(allowed, now)
+            if picked is not None:
+                return picked, 0.0
+            wait = min(wait, ready)
+        return None, wait
+
+    def allowed_endpoints(self) -> list[frozenset[str]]:
+        """The ids of the endpoints that the request may be sent to: one set, or two of which the second is
+        used only if none of the first can be.
+
+        A request is drawn once for the version on trial; one that was sent already goes to those in service.
+        """
+        traffic = self.router.version_gate.traffic(self.request.service)
+        if traffic is None:
+            return []
+        if traffic.share >= 1.0:
+            return (
+                [traffic.trial] if traffic.stage is RolloutStage.HOLDING else [traffic.trial, traffic.serving]
+            )
+        if self.progress.trial_draw is None:
+            self.progress.trial_draw = self.router.chance.random() if traffic.share else None
+        draw = self.progress.trial_draw
+        if draw is None or draw >= traffic.share or self.progress.attempts:
+            return [traffic.serving]
+        return [traffic.trial, traffic.serving]
+
+    def pick_among(self, allowed: frozenset[str], now: float) -> tuple[EndpointChoice | None, float]:
+        """The best of these endpoints; if none can be sent the request, s until one may be ready."""
         router = self.router
-        endpoints = router.by_service.get(self.request.service, ())
+        listed = router.by_service.get(self.request.service, ())
+        endpoints = [each for each in listed if each.id in allowed]
         router.index.age(now)
         look = self.look(now)
         wait = math.inf
--- a/plumline/router/subscriber.py
+++ b/plumline/router/subscriber.py
@@ -26,6 +26,7 @@
 from plumline.router.feed_source import FeedLag, FeedSource
 from plumline.routing.fleet import Fleet
 from plumline.routing.mechanisms import MECHANISMS
+from plumline.routing.rollout_report import RolloutReport, ServiceReport
 from plumline.settings import Settings, SettingsFile
 from plumline.wire.frame_link import FrameLink
 from plumline.wire.frames import hello
@@ -38,6 +39,8 @@
 LAG_TIMEOUT_S = 0.5  # s for a reported entry, or a chunk of it, to arrive: a little over a heartbeat
 STALE_TIMEOUT_S = 1.0  # s that a source may say that it is not current
 BACKOFF_S = 2.0  # s for which a replaced source is not tried while there are others
+WHOLE_REPORT_INTERVAL_S = 1.5  # s between reports of all that was seen of a roll-out
+LIFE_BITS = 48  # of the number that tells one life of the process from another
 RECONNECT_BACKOFF_S = BACKOFF_S / 4  # s after a connection that ended or did not come up
 
 LoadReports = dict[str, list[Any]]  # by service, see plumline.registrar.service_load
@@ -68,6 +71,12 @@
         self.lag = FeedLag()
         self.state = ReplicatedConfiguration()  # the newest that has arrived
         self.applied_index = 0  # number of its newest entry
+        #: What this router has seen of the roll-outs under way, by service; True: all of it.
+        self.rollout_reports: Callable[[bool], dict[str, ServiceReport]] = lambda whole: {}
+        self._life = random.getrandbits(LIFE_BITS)
+        self._reported_to: FeedSource | None = None  # got the last report of a roll-out
+        self._whole_report_at = 0.0  # steady s
+        self._reported: dict[str, ServiceReport] = {}  # the last report, without its tallies
         #: Called with the router, or the address of the cache store, that events are about.
         self.on_prompt_events: Callable[[str, list[Any]], None] = lambda origin, events: None
         self.local_loads: Callable[[], LoadReports] = dict  # this router's, for its heartbeats
@@ -329,6 +338,8 @@
             self.fleet.take_marks(payload)
         elif name == "stores":
             self.fleet.take_stores(payload)
+        elif name == "grants":
+            self.fleet.take_grants(payload)
 
     # To the registrars.
 
@@ -337,6 +348,24 @@
             if source.link is not None:
                 source.link.send(["heartbeat", self.applied_index, self.local_loads()])
 
+    def _report_rollouts(self, now: float) -> None:
+        """Reports to the primary what requests have shown of the versions on trial, if any is."""
+        primary = self.primary
+        if primary is None or primary.link is None:
+            return
+        whole = primary is not self._reported_to or now >= self._whole_report_at
+        reports = self.rollout_reports(whole)
+        without_tallies = {name: each._replace(tallies=()) for name, each in reports.items()}
+        if not whole and reports == without_tallies == self._reported:
+            return
+        self._reported = without_tallies
+        if not reports:
+            return
+        if whole:
+            self._reported_to, self._whole_report_at = primary, now + WHOLE_REPORT_INTERVAL_S
+        report = RolloutReport(self.settings.node_name, self._life, reports)
+        primary.link.send(report.to_wire())
+
     async def run(self) -> None:
         """Until cancelled."""
         next_heartbeat_at = 0.0
@@ -345,6 +374,7 @@
             if (changed := self.settings_file.poll(now)) is not None:
                 self.seeds = changed.seeds
             self.reconcile_sources(now)
+            self._report_rollouts(now)
             if now >= next_heartbeat_at:
                 next_heartbeat_at = now + self.settings.heartbeat_interval_ms / 1000
                 self._send_heartbeats()
--- a/plumline/routing/fleet.py
+++ b/plumline/routing/fleet.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from plumline.routing.fleet_state import ListedEndpoint, RolloutState, StoreStatus
+from plumline.routing.fleet_state import ListedEndpoint, RolloutGrant, RolloutState, StoreStatus
 
 Address = tuple[str, int]
 
@@ -28,6 +28,7 @@
     cold_ms: float = 0.0
     models: dict[str, int] = field(default_factory=dict)  # model -> version of its weights
     moving: bool = False
+    version: str = ""  # of its software
 
 
 def address_of(text: str) -> Address:
@@ -57,6 +58,7 @@
             cold_ms=listed.cold_ms,
             models=models,
             moving=state.updating,
+            version=listed.version,
         )
     return found
 
@@ -72,11 +74,12 @@
         self.roster: list[dict[str, Any]] = []
         self.marks: dict[str, dict[str, Any]] = {}
         self.stores: dict[str, StoreStatus] = {}  # by name
+        self.grants: dict[str, RolloutGrant] = {}  # by service
         self.endpoints: dict[str, Endpoint] = {}
         self.routers = 1  # alive in the fleet, this one included
         self.fresh_at = -1e9  # steady s at which `fresh` last held
         self.fresh = False  # a source that is itself in touch with the core's majority feeds us now
-        #: Told "configuration", "endpoints", "stores" or "members".
+        #: Told "configuration", "endpoints", "stores", "grants" or "members".
         self.watchers: list[Callable[[str], None]] = []
 
     def named_version(self, model: str) -> int:
@@ -99,6 +102,11 @@
         self.stores = {name: StoreStatus.from_wire(each) for name, each in stores.items()}
         self.tell("stores")
 
+    def take_grants(self, grants: Mapping[str, list[Any]]) -> None:
+        """The grants of the roll-outs under way have come. Raises ValueError, TypeError."""
+        self.grants = {service: RolloutGrant.from_wire(each) for service, each in grants.items()}
+        self.tell("grants")
+
     def take_marks(self, marks: dict[str, dict[str, Any]]) -> None:
         """The marks have come, as plumline.routing.fleet_state says."""
         self.marks = marks
--- a/plumline/routing/fleet_state.py
+++ b/plumline/routing/fleet_state.py
@@ -1,15 +1,20 @@
 """State of the fleet that registrars publish to routers: a type for each kind, with its codec.
 
-The three kinds travel complete, in plain lists and dicts, as soft state (plumline.coordination.soft_state):
+The four kinds travel complete, in plain lists and dicts, as soft state (plumline.coordination.soft_state):
 
 - `roster`: a list of `ListedEndpoint`, what the platform's API lists
 - `marks`: `RolloutState` by endpoint id, what the holder of the `weights` lease knows better than that list
 - `stores`: `StoreStatus` by the store's name
+- `grants`: `RolloutGrant` by service, from the controller of its roll-out; holds for GRANT_DURATION_S
 """
 
 from collections.abc import Mapping
 from typing import Any, NamedTuple
 
+from plumline.configuration.service_rollouts import RolloutStage
+
+GRANT_DURATION_S = 2.0  # s from its arrival at a router; four refreshes by the controller
+
 
 class ListedEndpoint(NamedTuple):
     """One incarnation of an endpoint as the platform lists it."""
@@ -22,10 +27,11 @@
     draining: bool
     cold_ms: float  # left until it is warm, at the time of the read
     models: dict[str, int]  # version of the weights by model
+    version: str = ""  # of its software; empty where the platform lists none
 
     def to_wire(self) -> dict[str, Any]:
         """The endpoint as an item of `roster`."""
-        return {
+        item = {
             "id": self.id,
             "service": self.service,
             "address": self.address,
@@ -35,6 +41,9 @@
             "cold_ms": self.cold_ms,
             "models": self.models,
         }
+        if self.version:
+            item["version"] = self.version
+        return item
 
     @classmethod
     def from_wire(cls, item: Mapping[str, Any]) -> "ListedEndpoint":
@@ -48,6 +57,7 @@
             item["draining"],
             item["cold_ms"],
             item["models"],
+            item.get("version", ""),
         )
 
 
@@ -83,3 +93,24 @@
     def from_wire(cls, value: Mapping[str, Any]) -> "StoreStatus":
         """The status of a value of `stores`. Raises KeyError if a field is missing."""
         return cls(value["up"], value["epoch"])
+
+
+class RolloutGrant(NamedTuple):
+    """What routers may send to the target version of a roll-out that is under way."""
+
+    target: str
+    stage: RolloutStage
+    share: float  # of the service's requests, 0 to 1
+    endpoints: tuple[str, ...] | None  # ids of those that may be used; None: all of the target version
+
+    def to_wire(self) -> list[Any]:
+        """The grant as a value of `grants`."""
+        endpoints = None if self.endpoints is None else list(self.endpoints)
+        return [self.target, self.stage.value, self.share, endpoints]
+
+    @classmethod
+    def from_wire(cls, value: list[Any]) -> "RolloutGrant":
+        """The grant of a value of `grants`. Raises ValueError, TypeError."""
+        target, stage, share, endpoints = value
+        chosen = None if endpoints is None else tuple(endpoints)
+        return cls(str(target), RolloutStage(stage), float(share), chosen)
--- a/plumline/settings.py
+++ b/plumline/settings.py
@@ -75,6 +75,8 @@
     thaw_slack_ms: float = 300
     version_apply_ms: float = 8000
     version_everywhere_ms: float = 0
+    exposure_share: float = 0.1
+    exposure_slack: float = 50
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_endpoint_discovery.py
+++ b/tests/test_endpoint_discovery.py
@@ -103,6 +103,7 @@
         {
             "id": "i-7f3a91c2", "service": "huvo11a", "address": "10.128.0.9:8080", "zone": "nyarugenge-hall",
             "slots": 12, "draining": True, "cold_ms": 7.0, "models": {"daka510000": 2},
+            "version": "v1",
         }
     ]  # fmt: skip
     assert endpoints_from([each.to_wire() for each in endpoints], {})["i-7f3a91c2"].address == (
--- a/tests/test_frozen_forms.py
+++ b/tests/test_frozen_forms.py
@@ -22,6 +22,7 @@
 NAMES = recorded("names")
 ADDED = recorded("names_added")  # since then; what was recorded stays as it is
 MESSAGES_SINCE = recorded("messages_since") | recorded("messages_with_base")
+MESSAGES_SINCE |= recorded("messages_with_rollouts")
 MESSAGES_ADDED, RECORDS_ADDED = recorded("messages_added"), recorded("records_added")  # kinds, likewise
 
 
@@ -35,7 +36,10 @@
 
 
 def test_a_settings_file_is_read_as_before() -> None:
-    assert code.settings_read(DATA / "settings.toml") == NAMES["settings"]
+    found, added = code.settings_read(DATA / "settings.toml"), recorded("settings_with_rollouts")
+    for section, values in added.items():
+        assert {key: found[section].pop(key) for key in values} == values
+    assert found == NAMES["settings"]
 
 
 def test_the_words_and_options_of_the_command_line() -> None:
@@ -99,8 +103,9 @@
     """Every kind by its sender and receiver, its fields' types, and the bytes of an example or two.
 
     Which examples come first hangs on how fast a start is, and loads on what reading is taken to cost; a view
-    may end with its base. What changed with these stands in `messages_since` and `messages_with_base`, new
-    kinds in `messages_added`; kinds and types stay as they were recorded.
+    may end with its base; a release names its features. What changed with these stands in `messages_since`,
+    `messages_with_base` and `messages_with_rollouts`, new kinds in `messages_added`; kinds and types stay as
+    they were recorded.
     """
     found, expected, since = code.messages_sent(), recorded("messages"), MESSAGES_SINCE
     assert not expected.keys() & MESSAGES_ADDED.keys()
