Steer roll-outs of service versions: order on a majority, controller, verdict, end

An order is a change of the log now, acknowledged once the chain has it on its disks; the holder of the lease 'discovery' runs a controller for each roll-out, which records each stage before it acts on it, grants a bounded share to few endpoints with the usual load, judges by a sequential test of bad answers against those of the versions in service at the same time, and completes when no router runs a request at another version. docs/service-rollouts.md has the stages and what was weighed.

The table of calls has two rows more, and its test their names.

--- a/plumline/registrar/forwarding.py
+++ b/plumline/registrar/forwarding.py
@@ -12,8 +12,15 @@
 
 from plumline.configuration.document import Document
 from plumline.configuration.replicated_state import ReplicatedConfiguration
+from plumline.configuration.service_rollouts import (
+    RolloutConflictError,
+    RolloutInvalidError,
+    RolloutNotFoundError,
+    is_rollout_change,
+)
 from plumline.coordination.core import Core
 from plumline.coordination.environment import Message
+from plumline.coordination.failure_detector import SERVICE_ROLLOUTS
 from plumline.coordination.log import Change
 from plumline.errors import (
     ConfigurationInvalidError,
@@ -38,13 +45,20 @@
 LARGE_BODY_BYTES_PER_S = 1_000_000
 ERROR_TYPES_BY_CODE = {
     error_type.code: error_type
-    for error_type in (ConfigurationInvalidError, VersionConflictError, UnavailableError)
+    for error_type in (
+        ConfigurationInvalidError,
+        VersionConflictError,
+        UnavailableError,
+        RolloutInvalidError,
+        RolloutConflictError,
+        RolloutNotFoundError,
+    )
 }
 #: The result of an acknowledged change, as it is sent and as the operator gets it.
 ACKNOWLEDGED = {"taken": True}
 KEY_BYTES = 8  # of a request's random key
 
-#: Gets an error, or None and the result: ACKNOWLEDGED, or the configuration (None where there is none yet).
+#: Gets an error, or None and the result: ACKNOWLEDGED, or what was read (None: no configuration yet).
 ResultCallback = Callable[[PlumlineError | None, Document | None], None]
 
 
@@ -75,9 +89,13 @@
         request = ForwardedWrite(_new_key(), change)
         self._forward(now, self.core.head_address(), request, timeout_s, on_result)
 
-    def read(self, now: float, on_result: ResultCallback) -> None:
-        """Asks the tail for the configuration; the result is None where there is none yet."""
-        self._forward(now, self.core.tail_address(), ForwardedRead(_new_key()), FORWARD_TIMEOUT_S, on_result)
+    def read(self, now: float, on_result: ResultCallback, rollout_of: str | None = None) -> None:
+        """Asks the tail for the configuration, or for the roll-out of a service.
+
+        The result is None where there is no configuration yet.
+        """
+        request = ForwardedRead(_new_key(), rollout_of)
+        self._forward(now, self.core.tail_address(), request, FORWARD_TIMEOUT_S, on_result)
 
     def _forward(
         self,
@@ -149,6 +167,10 @@
             error = UnavailableError("the head is cut off from the majority")
             self._respond(sender, write.key, error)
             return
+        if is_rollout_change(write.change) and not self._all_support_rollouts():
+            error = UnavailableError("a registrar of an earlier release would not keep the roll-out")
+            self._respond(sender, write.key, error)
+            return
 
         def on_committed(error: PlumlineError | None) -> None:
             self._respond(sender, write.key, error, ACKNOWLEDGED)
@@ -164,11 +186,20 @@
         def on_read(state: ReplicatedConfiguration | None) -> None:
             if state is None:
                 self._respond(sender, read.key, UnavailableError("not a tail that may answer"))
-            else:
+            elif read.service is None:
                 self._respond(sender, read.key, None, state.configuration)
+            elif (record := state.rollouts.records.get(read.service)) is not None:
+                self._respond(sender, read.key, None, record.public_state())
+            else:
+                error = RolloutNotFoundError(f"no roll-out of {read.service!r} was ordered")
+                self._respond(sender, read.key, error)
 
         self.core.chain.read(on_read)
 
+    def _all_support_rollouts(self) -> bool:
+        detector = self.core.failure_detector
+        return all(detector.supports(address, SERVICE_ROLLOUTS) for address in detector.peers)
+
     def _respond(
         self, address: str, key: str, error: PlumlineError | None, result: Document | None = None
     ) -> None:
--- a/plumline/registrar/forwarding_messages.py
+++ b/plumline/registrar/forwarding_messages.py
@@ -1,7 +1,8 @@
 """The messages of request forwarding, from one registrar to another, and their form on the wire.
 
     ["ask", key, ["submit", change]]      a change for the head
-    ["ask", key, ["read"]]                a read for the tail
+    ["ask", key, ["read"]]                a read of the configuration, for the tail
+    ["ask", key, ["read", service]]       a read of a service's roll-out, for the tail
     ["answer", key, code, text, result]   the response; code is nil where there is no error
 
 The key is the request's own, chosen at random by the registrar that forwards it.
@@ -26,13 +27,14 @@
 
 
 class ForwardedRead(NamedTuple):
-    """A read of the configuration that the tail is to serve."""
+    """A read that the tail is to serve."""
 
     key: str
+    service: str | None = None  # whose roll-out is read; None: the configuration is
 
     def to_wire(self) -> Message:
         """The message's plain values."""
-        return ["ask", self.key, ["read"]]
+        return ["ask", self.key, ["read"] if self.service is None else ["read", self.service]]
 
 
 class ForwardingResponse(NamedTuple):
@@ -59,6 +61,8 @@
             return ForwardedWrite(key, change)
         case ["ask", str(key), ["read"]]:
             return ForwardedRead(key)
+        case ["ask", str(key), ["read", str(service)]]:
+            return ForwardedRead(key, service)
         case ["answer", str(key), str() | None as code, str(text), result]:
             return ForwardingResponse(key, code, text, result)
         case _:
--- a/plumline/registrar/message_handlers.py
+++ b/plumline/registrar/message_handlers.py
@@ -5,6 +5,7 @@
 from plumline.coordination.core import Core
 from plumline.coordination.environment import Message
 from plumline.counters import Counters
+from plumline.errors import FrameError
 from plumline.registrar.forwarding import RequestForwarder
 from plumline.registrar.peer_messages import (
     PromptEvents,
@@ -19,6 +20,7 @@
 from plumline.registrar.singleton_roles import SingletonRoles
 from plumline.registrar.soft_state_replication import SoftStateReplicator
 from plumline.registrar.subscriber_messages import PROMPT_EVENTS_KIND, REFRESH_ENDPOINTS_KIND
+from plumline.routing.rollout_report import ROLLOUT_REPORT_KIND, RolloutReport
 from plumline.wire.frame_link import FrameLink
 from plumline.wire.mesh import Mesh
 
@@ -73,6 +75,8 @@
                 self.publisher.forward_prompt_events(message)
             case RefreshEndpoints():
                 self.roles.refresh_endpoints()
+            case RolloutReport() as report:
+                self.roles.on_rollout_report(report)
             case ZoneAnnouncement(zone):
                 self.zones[sender] = zone
             case None:
@@ -97,12 +101,23 @@
         if message == [REFRESH_ENDPOINTS_KIND]:
             self.mesh.send_all(message)
             self.roles.refresh_endpoints()
+        elif message[0] == ROLLOUT_REPORT_KIND:
+            self._on_rollout_report(link, message)
         elif message[0] == PROMPT_EVENTS_KIND:
             self.publisher.forward_prompt_events(message, link)
             self.mesh.send_all(message)
         else:
             self.publisher.on_subscriber_message(link, message, self.clock())
 
+    def _on_rollout_report(self, link: FrameLink, message: Message) -> None:
+        """Takes a report of roll-outs, and passes it on: any registrar may be the next to steer them."""
+        try:
+            report = RolloutReport.from_wire(message)
+        except (ValueError, TypeError) as error:
+            raise FrameError(f"a malformed report of a roll-out: {error}") from error
+        self.roles.on_rollout_report(report)
+        self.mesh.send_all(message)
+
     def on_disconnected(self, link: FrameLink) -> None:
         """A router's connection has ended."""
         self.publisher.on_subscriber_disconnected(link)
--- a/plumline/registrar/operator_api.py
+++ b/plumline/registrar/operator_api.py
@@ -3,8 +3,10 @@
 import asyncio
 import json
 from collections.abc import Callable
+from urllib.parse import unquote
 
 from plumline.configuration.document import Document, parse_document
+from plumline.configuration.service_rollouts import ROLLOUT_KEY, StartRollout, is_rollout_change
 from plumline.coordination.core import Core
 from plumline.coordination.environment import Message
 from plumline.coordination.log import Change
@@ -20,8 +22,15 @@
 #: The calls that operators make, by method and path.
 CALL_NAMES = {
     (CALLS[name].method, CALLS[name].path): name
-    for name in ("configuration_replace", "configuration_amend", "configuration_read", "version_put")
+    for name in (
+        "configuration_replace",
+        "configuration_amend",
+        "configuration_read",
+        "version_put",
+        "rollout_start",
+    )
 }
+ROLLOUT_READ = CALLS["rollout_read"]  # its path ends with the name of a service
 
 
 class NotFoundError(PlumlineError):
@@ -48,7 +57,7 @@
 
     async def serve(self, exchange: Exchange) -> None:
         """Responds with the result, or with the code, status and text of the typed error."""
-        name = CALL_NAMES.get((exchange.method, exchange.path))
+        name = _call_name(exchange)
         try:
             if name is None:
                 raise NotFoundError("no such call")
@@ -72,6 +81,8 @@
         """The document of a 200; raises the typed error of any other response."""
         if name == "configuration_read":
             return await self._read()
+        if name == ROLLOUT_READ.name:
+            return await self._read_rollout(_service_of(exchange))
         change = _change_of(name, exchange)
         now, body_bytes = self.loop.time(), len(exchange.body)
         return await self._result_of(
@@ -86,6 +97,11 @@
             raise UnavailableError("there is no configuration yet")
         return document
 
+    async def _read_rollout(self, service: str) -> Document | None:
+        """State and target of the service's newest roll-out; raises RolloutNotFoundError if there is none."""
+        now = self.loop.time()
+        return await self._result_of(lambda on_result: self.forwarder.read(now, on_result, service))
+
     async def _result_of(self, forward: Callable[[ResultCallback], None]) -> Document | None:
         """Waits for what `forward` passes to its callback: returns the result, or raises the error."""
         future: asyncio.Future[Document | None] = self.loop.create_future()
@@ -102,10 +118,29 @@
         return await future
 
 
+def _call_name(exchange: Exchange) -> str | None:
+    """The name of the call that the request makes; None if there is no such call."""
+    if exchange.method == ROLLOUT_READ.method and exchange.path.startswith(ROLLOUT_READ.path):
+        return ROLLOUT_READ.name
+    return CALL_NAMES.get((exchange.method, exchange.path))
+
+
+def _service_of(exchange: Exchange) -> str:
+    """The service that a read of a roll-out names."""
+    return unquote(exchange.path.removeprefix(ROLLOUT_READ.path))
+
+
 def _change_of(name: str, exchange: Exchange) -> Change:
-    """The change that a request asks for, as the log holds it. Raises ConfigurationInvalidError."""
+    """The change that a request asks for, as the log holds it.
+
+    Raises ConfigurationInvalidError, RolloutInvalidError.
+    """
     body = parse_document(exchange.body)
+    if name == "rollout_start":
+        return StartRollout.from_body(body).to_change()
     if name == "version_put":
+        if is_rollout_change(["weights", body]):
+            raise ConfigurationInvalidError(f"{ROLLOUT_KEY}: not allowed here")
         return ["weights", body]
     kind = "replace" if name == "configuration_replace" else "amend"
     return [kind, _base_version(exchange), body]
--- a/plumline/registrar/peer_messages.py
+++ b/plumline/registrar/peer_messages.py
@@ -5,6 +5,8 @@
 ["news", origin, events]                 prompt events, which are forwarded to routers as they came
 ["hurry"]                                a router asks for a new endpoint list
 ["zone", zone]                           where the sender runs
+
+Reports of roll-outs, which are forwarded as they came, are described in plumline.routing.rollout_report.
 """
 
 from typing import Any, NamedTuple
@@ -12,6 +14,7 @@
 from plumline.coordination.environment import Message
 from plumline.coordination.soft_state import Version
 from plumline.registrar.service_load import ServiceLoads
+from plumline.routing.rollout_report import RolloutReport
 
 
 class SoftStateUpdate(NamedTuple):
@@ -65,11 +68,16 @@
         return ["zone", self.zone]
 
 
-PeerMessage = SoftStateUpdate | SubscriberReport | PromptEvents | RefreshEndpoints | ZoneAnnouncement
+PeerMessage = (
+    SoftStateUpdate | SubscriberReport | PromptEvents | RefreshEndpoints | ZoneAnnouncement | RolloutReport
+)
 
 
 def peer_message_from_wire(message: Message) -> PeerMessage | None:
-    """The typed message; None if it is of no kind, or not of the form, given above."""
+    """The typed message; None if it is of no kind, or not of the form, given above.
+
+    Raises ValueError, TypeError for a malformed report of a roll-out.
+    """
     match message:
         case ["topic", str(topic), [int(term), int(count)], value]:
             return SoftStateUpdate(topic, (term, count), value)
@@ -81,5 +89,7 @@
             return RefreshEndpoints()
         case ["zone", str(zone)]:
             return ZoneAnnouncement(zone)
+        case ["rollout-report", *_]:
+            return RolloutReport.from_wire(message)
         case _:
             return None
--- a/plumline/registrar/process.py
+++ b/plumline/registrar/process.py
@@ -101,7 +101,15 @@
         self.routers = RouterDirectory(self.publisher)
         replicator = SoftStateReplicator(soft_state, self.publisher, self.mesh, self.counters)
         self.roles = SingletonRoles(
-            settings, self.core, replicator, self.publisher, self.mesh, self.counters, clock
+            settings,
+            self.core,
+            replicator,
+            self.publisher,
+            self.mesh,
+            self.counters,
+            clock,
+            self.operator_api.forwarder,
+            self.routers,
         )
         peer_handler = PeerMessageHandler(
             self.core,
--- a/plumline/registrar/singleton_environments.py
+++ b/plumline/registrar/singleton_environments.py
@@ -4,13 +4,16 @@
 lease can end at any moment.
 """
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any
 
 from plumline.configuration.document import Document
 from plumline.configuration.replicated_state import ReplicatedConfiguration
 from plumline.configuration.route_table import RouteTable
+from plumline.configuration.service_rollouts import AdvanceRollout, RolloutRecord
+from plumline.coordination.log import Change
 from plumline.counters import Counters
+from plumline.errors import PlumlineError
 from plumline.prefix_cache.index import TOLD_PART
 from plumline.registrar.cache_store_events import StoreEvents
 from plumline.registrar.cache_stores import StoreStatuses
@@ -18,7 +21,7 @@
 from plumline.registrar.publisher import FeedPublisher
 from plumline.registrar.rollout.plan import RolloutStates
 from plumline.registrar.soft_state_replication import SoftStateReplicator, Topic
-from plumline.routing.fleet_state import ListedEndpoint, RolloutState
+from plumline.routing.fleet_state import ListedEndpoint, RolloutGrant, RolloutState
 from plumline.wire.http import Address
 from plumline.wire.mesh import Mesh
 
@@ -127,20 +130,15 @@
         replicator: SoftStateReplicator,
     ) -> None:
         self._token, self._configuration, self._replicator = token, configuration, replicator
-        self._decoded: Any = None  # the published value that the endpoints are from
-        self._endpoints: list[ListedEndpoint] = []
+        self._endpoints = PublishedEndpoints(replicator)
 
     def fencing_token(self) -> int | None:
         """The fencing token of the lease, None unless it is held at this moment."""
         return self._token()
 
     def endpoints(self) -> Sequence[ListedEndpoint]:
-        """The newest list, empty if there is none; decoded once for each list."""
-        value = self._replicator.soft_state.get(Topic.ENDPOINTS)
-        if value is not self._decoded:
-            self._endpoints = [ListedEndpoint.from_wire(item) for item in value or ()]
-            self._decoded = value
-        return self._endpoints
+        """The newest list, empty if there is none."""
+        return self._endpoints.newest()
 
     def desired_versions(self) -> Mapping[str, int]:
         """The committed versions by model."""
@@ -153,6 +151,70 @@
             self._replicator.publish(Topic.ROLLOUT, token, value)
 
 
+class RegistrarServiceRolloutEnvironment:
+    """The environment of RolloutSteering."""
+
+    def __init__(
+        self,
+        token: FencingToken,
+        configuration: CommittedConfiguration,
+        replicator: SoftStateReplicator,
+        live_routers: Callable[[], Iterable[str]],
+        submit: Callable[[Change, Callable[[PlumlineError | None], None]], None],
+    ) -> None:
+        """`submit(change, on_result)`: orders a change at the head of the chain."""
+        self._token, self._configuration = token, configuration
+        self._replicator, self._live_routers, self._submit = replicator, live_routers, submit
+        self._endpoints = PublishedEndpoints(replicator)
+
+    def fencing_token(self) -> int | None:
+        """The term of the lease, None unless it is held at this moment."""
+        return self._token()
+
+    def records(self) -> Mapping[str, RolloutRecord]:
+        """The committed records, by service."""
+        return self._configuration().rollouts.records
+
+    def endpoints(self) -> Sequence[ListedEndpoint]:
+        """The newest list, empty if there is none."""
+        return self._endpoints.newest()
+
+    def live_routers(self) -> frozenset[str]:
+        """The nodes of the routers that are alive."""
+        return frozenset(self._live_routers())
+
+    def publish(self, grants: Mapping[str, RolloutGrant]) -> None:
+        """Publishes the grants, if the lease is still held."""
+        if (token := self._token()) is not None:
+            value = {service: grant.to_wire() for service, grant in grants.items()}
+            self._replicator.publish(Topic.GRANTS, token, value)
+
+    def published_any(self) -> bool:
+        """Whether the newest grants that any holder has published allow anything."""
+        return bool(self._replicator.soft_state.get(Topic.GRANTS))
+
+    def record(self, decision: AdvanceRollout, on_result: Callable[[PlumlineError | None], None]) -> None:
+        """Submits a decision to the chain."""
+        self._submit(decision.to_change(), on_result)
+
+
+class PublishedEndpoints:
+    """The published list of endpoints, decoded once for each list."""
+
+    def __init__(self, replicator: SoftStateReplicator) -> None:
+        self._replicator = replicator
+        self._decoded: Any = None  # the published value that the endpoints are from
+        self._endpoints: list[ListedEndpoint] = []
+
+    def newest(self) -> Sequence[ListedEndpoint]:
+        """The newest list, empty if there is none."""
+        value = self._replicator.soft_state.get(Topic.ENDPOINTS)
+        if value is not self._decoded:
+            self._endpoints = [ListedEndpoint.from_wire(item) for item in value or ()]
+            self._decoded = value
+        return self._endpoints
+
+
 def rollout_states_from_wire(value: Any) -> RolloutStates:  # noqa: ANN401 (plain values of a message)
     """The published states of a roll-out. Raises ValueError for another value."""
     if not isinstance(value, Mapping) or not all(isinstance(state, Mapping) for state in value.values()):
--- a/plumline/registrar/singleton_roles.py
+++ b/plumline/registrar/singleton_roles.py
@@ -2,7 +2,8 @@
 
 | lease       | roles                                                                      |
 | ----------- | -------------------------------------------------------------------------- |
-| `discovery` | keeping the endpoint list, health checks of the cache stores               |
+| `discovery` | keeping the endpoint list, health checks of the cache stores, steering     |
+|             | roll-outs of service versions; the term is recorded with each stage        |
 | `weights`   | rolling out versions of the endpoints' weights; the term is the fencing token |
 
 All loops run at each registrar; they do nothing while its lease is held elsewhere.
@@ -15,18 +16,26 @@
 from plumline import logs
 from plumline.coordination.core import Core
 from plumline.coordination.lease import LeaseDurations
+from plumline.coordination.log import Change
 from plumline.counters import Counters
+from plumline.errors import PlumlineError
 from plumline.registrar.cache_stores import CacheStoreMonitor
 from plumline.registrar.discovery import EndpointDiscovery
+from plumline.registrar.forwarding import RequestForwarder
 from plumline.registrar.publisher import FeedPublisher
 from plumline.registrar.rollout.loop import RolloutController
+from plumline.registrar.router_directory import RouterDirectory
+from plumline.registrar.service_rollout.controller import ExposureBound
+from plumline.registrar.service_rollout.loop import RolloutSteering
 from plumline.registrar.singleton_environments import (
     RegistrarCacheStoreEnvironment,
     RegistrarDiscoveryEnvironment,
     RegistrarRolloutEnvironment,
+    RegistrarServiceRolloutEnvironment,
     rollout_states_from_wire,
 )
 from plumline.registrar.soft_state_replication import SoftStateReplicator, Topic
+from plumline.routing.rollout_report import RolloutReport
 from plumline.settings import Settings
 from plumline.wire.calls import Caller
 from plumline.wire.mesh import Mesh
@@ -68,9 +77,11 @@
         mesh: Mesh,
         counters: Counters,
         clock: Clock,
+        forwarder: RequestForwarder,
+        routers: RouterDirectory,
     ) -> None:
         """`clock()`: s, steady."""
-        self.core, self.clock = core, clock
+        self.core, self.clock, self.forwarder = core, clock, forwarder
         self.known_terms: dict[Lease, int | None] = {}  # held here, as of the last check
         caller = Caller(clock)
         self.rollout = RolloutController(
@@ -84,13 +95,24 @@
             clock,
             apply_timeout_s=settings.bounds.version_apply_ms / 1000,
         )
+        self.service_rollouts = RolloutSteering(
+            RegistrarServiceRolloutEnvironment(
+                token=lambda: self._active_term(Lease.DISCOVERY),
+                configuration=lambda: core.chain.state,
+                replicator=replicator,
+                live_routers=lambda: routers.live_routers(clock()),
+                submit=self._submit,
+            ),
+            clock,
+            exposure=ExposureBound(settings.bounds.exposure_share, settings.bounds.exposure_slack),
+        )
         self.discovery = EndpointDiscovery(
             settings,
             caller,
             RegistrarDiscoveryEnvironment(
                 token=lambda: self._active_term(Lease.DISCOVERY),
                 replicator=replicator,
-                on_published=self.rollout.wake,
+                on_published=self._on_endpoints_published,
             ),
             clock,
         )
@@ -109,7 +131,12 @@
 
     def loops(self) -> tuple[Coroutine[Any, Any, None], ...]:
         """The loops, which run until they are cancelled."""
-        return self.discovery.run(), self.cache_stores.run(), self.rollout.run()
+        return (
+            self.discovery.run(),
+            self.cache_stores.run(),
+            self.rollout.run(),
+            self.service_rollouts.run(),
+        )
 
     # Events.
 
@@ -128,11 +155,17 @@
                 self.discovery.wake()
                 self.cache_stores.wake()
                 self.rollout.wake()
+                self.service_rollouts.wake()
+
+    def on_rollout_report(self, report: RolloutReport) -> None:
+        """A router has reported what it saw of the roll-outs under way."""
+        self.service_rollouts.reports.take(report)
 
     def on_configuration_changed(self) -> None:
         """Wakes the loops that read the configuration."""
         self.rollout.wake()
         self.cache_stores.wake()
+        self.service_rollouts.wake()
 
     def on_soft_state_update(self, topic: str, value: Any) -> None:  # noqa: ANN401
         """Another registrar has published this value of a topic. Raises ValueError for a malformed one."""
@@ -144,8 +177,16 @@
         """A router misses an endpoint: the list is read again soon, if the lease is held here."""
         self.discovery.refresh_soon()
 
+    def _on_endpoints_published(self) -> None:
+        self.rollout.wake()
+        self.service_rollouts.wake()
+
     # What the roles ask.
 
+    def _submit(self, change: Change, on_result: Callable[[PlumlineError | None], None]) -> None:
+        """Orders a change at the head of the chain, like an operator's."""
+        self.forwarder.submit(self.clock(), change, 0, lambda error, _: on_result(error))
+
     def _active_term(self, lease: Lease) -> int | None:
         """The term of the lease if this registrar may act for it right now."""
         return self.core.lease_election.fencing_token(self.clock(), lease)
--- a/plumline/registrar/soft_state_replication.py
+++ b/plumline/registrar/soft_state_replication.py
@@ -18,6 +18,7 @@
 
     ENDPOINTS = "roster"  # the endpoint list
     CACHE_STORES = "stores"  # by name: which cache stores are up
+    GRANTS = "grants"  # by service: what may be sent to a version on trial
     ROLLOUT = "marks"  # by endpoint: which of them move to another version of their weights
 
 
--- a/plumline/wire/calls.py
+++ b/plumline/wire/calls.py
@@ -117,6 +117,9 @@
         Call("configuration_amend", "POST", "/Configuration.Amend", (200, 400, 412, 503), "none", "in"),
         Call("configuration_read", "GET", "/Configuration.Read", (200, 503), "none", "in"),
         Call("version_put", "POST", "/version-put", (200, 400, 503), "none", "in"),
+        Call("rollout_start", "POST", "/Rollouts.Start", (200, 400, 409, 503), "none", "in"),
+        # The path goes on with the name of a service.
+        Call("rollout_read", "GET", "/Rollouts.Read/", (200, 404, 503), "none", "in"),
         Call("readiness", "GET", "/readiness", (200, 503), "none", "in"),
     )
 }
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -13,6 +13,7 @@
 
 from plumline.configuration import history as history_module
 from plumline.configuration.replicated_state import ReplicatedConfiguration, model_names
+from plumline.configuration.service_rollouts import ServiceRollouts, is_rollout_change
 from plumline.configuration.validation import validate
 from plumline.coordination import replica_storage as storage_module
 from plumline.coordination.environment import Message
@@ -37,6 +38,8 @@
 
 def change_id(change: list[Any]) -> str:
     """A text that names this very change."""
+    if is_rollout_change(change):
+        return f"rollout {change[1]['Rollout']}"
     if change[0] == "weights":
         return f"{change[1]['Model']}@{change[1]['Version']}"
     return change[2]["Id"]
@@ -62,6 +65,10 @@
     def configuration(self) -> dict[str, Any] | None:
         return self.state.configuration
 
+    @property
+    def rollouts(self) -> ServiceRollouts:
+        return self.state.rollouts
+
     def to_wire(self) -> list[Any]:
         return [self.state.to_wire(), list(self.ids)]
 
@@ -297,12 +304,14 @@
         validate(result)
 
     def on_taken(self, change: list[Any]) -> None:
-        if change[0] == "weights":
+        if change[0] == "weights" and not is_rollout_change(change):
             self.on_named(change[1])
             return
         name = change_id(change)
         if name not in self.committed.values():
             raise ViolationError(f"{name} is acknowledged and not in force")
+        if is_rollout_change(change):
+            return
         _, base, body = change
         if self.bases.setdefault(base, name) != name:
             raise ViolationError(f"{name} and {self.bases[base]} are acknowledged on {base}")
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -76,11 +76,12 @@
 def test_the_table_holds_every_call_once() -> None:
     assert set(CALLS) == {
         "instances", "report", "order", "health", "kv_events", "kv_list", "configuration_replace",
-        "configuration_amend", "configuration_read", "version_put", "readiness",
+        "configuration_amend", "configuration_read", "version_put", "rollout_start", "rollout_read",
+        "readiness",
     }  # fmt: skip
     assert INCOMING["POST", "/Configuration.Amend"].name == "configuration_amend"
     assert ("GET", "/instances") not in INCOMING
-    assert len(INCOMING) == 5
+    assert len(INCOMING) == 7
 
 
 def test_failures_are_typed_with_codes() -> None:
--- a/tests/test_registrar_process.py
+++ b/tests/test_registrar_process.py
@@ -1,6 +1,7 @@
 """One registrar's process object on loopback sockets and a real folder, without the rest of a fleet."""
 
 import asyncio
+import json
 from dataclasses import replace
 from pathlib import Path
 from unittest.mock import patch
@@ -172,3 +173,40 @@
         assert each.clock == registrar.loop.time
     registrar.mesh.close()
     registrar.durable_state.close()
+
+
+# Guards against an order that the operators' API does not know (issue 49: "had no ack after N ms of calm").
+@play
+async def test_a_roll_out_is_ordered_read_and_refused_over_http(tmp_path: Path) -> None:
+    registrar = RegistrarProcess(settings_for(tmp_path))
+    await soon(formed(registrar))
+
+    async def call(method: str, path: str, body: bytes = b"") -> tuple[int, dict[str, str]]:
+        exchange = Exchange(method, path, body)
+        await soon(registrar.operator_api.serve(exchange))
+        assert exchange.answer is not None
+        return exchange.answer[0], json.loads(exchange.answer[2])
+
+    order = b'{"Service":"s 1","TargetVersion":"v2","DurationS":12}'
+    assert (await call("POST", "/Rollouts.Start", order))[0] == 503  # there is no configuration yet
+    configuration = b'{"Version":1,"Services":[{"Name":"s 1"}]}'
+    assert (await call("POST", "/Configuration.Replace", configuration))[0] == 200
+    assert (await call("GET", "/Rollouts.Read/s%201"))[0] == 404
+    assert (await call("POST", "/Rollouts.Start", order))[0] == 200
+    assert (await call("POST", "/Rollouts.Start", order))[0] == 200
+    read = await call("GET", "/Rollouts.Read/s%201")
+    assert read == (200, {"State": "running", "TargetVersion": "v2"})
+    status, error = await call("POST", "/Rollouts.Start", order.replace(b"v2", b"v3"))
+    assert (status, error["error"]) == (409, "rollout-conflict")
+    status, error = await call(
+        "POST", "/Rollouts.Start", b'{"Service":"x","TargetVersion":"v2","DurationS":1}'
+    )
+    assert (status, error["error"]) == (400, "rollout-invalid")
+    status, error = await call("POST", "/Rollouts.Start", b'{"Service":"s 1","TargetVersion":"v2"}')
+    assert (status, error["error"]) == (400, "rollout-invalid")
+    assert error["text"].startswith("DurationS: ")
+    assert (await call("POST", "/Rollouts.Start", b"{"))[0] == 400
+    hidden = b'{"Model":"","Version":0,"Rollout":["start","s 1","v9",5]}'
+    assert (await call("POST", "/version-put", hidden))[0] == 400
+    assert (await call("GET", "/Rollouts.Read/s%201"))[1]["TargetVersion"] == "v2"
+    registrar.durable_state.close()
--- /dev/null
+++ b/tests/test_service_rollout_steering.py
@@ -0,0 +1,179 @@
+"""Roll-outs in a simulated fleet: good versions are completed in time, bad ones taken back within bounds."""
+
+from collections.abc import Callable
+
+import pytest
+
+from plumline.configuration.service_rollouts import RolloutStage, StartRollout
+from plumline.routing.fleet_state import ListedEndpoint
+from tests.rollout_simulation import NEW, ROUTERS, SimulatedFleet
+
+SEEDS = range(8)
+ROLLBACK_S = 5.0
+Answers = Callable[[ListedEndpoint, str, float], float]
+
+
+def sound(endpoint: ListedEndpoint, route: str, now: float) -> float:
+    return 0.01
+
+
+def bad(share: float = 0.5, on: str = "", since: float = 0.0) -> Answers:
+    """A new version of which this share of the answers is bad."""
+
+    def answers(endpoint: ListedEndpoint, route: str, now: float) -> float:
+        return share if endpoint.version == NEW and on in ("", route) and now >= since else 0.01
+
+    return answers
+
+
+def faulty_endpoint(endpoint: ListedEndpoint, route: str, now: float) -> float:
+    """Every seventh endpoint of either version fails 0.4 of its requests."""
+    return 0.4 if int(endpoint.id.rpartition("-")[2]) % 7 == 0 else 0.01
+
+
+def burst_of_faults(endpoint: ListedEndpoint, route: str, now: float) -> float:
+    """For some seconds 0.3 of all answers are lost, whatever endpoint gives them."""
+    return 0.3 if 4.0 < now < 8.0 else 0.01
+
+
+GOOD = {"sound": sound, "faulty endpoints": faulty_endpoint, "burst of faults": burst_of_faults}
+BAD = {
+    "half fails": bad(),
+    "a quarter fails": bad(0.25),
+    "one route": bad(on="long"),
+    "late": bad(since=5.0),
+    "late, after the canary stage": bad(since=8.5),
+}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("name", GOOD)
+def test_a_good_version_is_completed_by_the_deadline(name: str, seed: int) -> None:
+    fleet = SimulatedFleet(GOOD[name], seed=seed)
+    fleet.run()
+    assert fleet.stage is RolloutStage.COMPLETED
+    assert fleet.now < fleet.duration_s
+    assert [stage for _, stage in fleet.history] == [
+        RolloutStage.CANARY,
+        RolloutStage.GROWING,
+        RolloutStage.HOLDING,
+        RolloutStage.COMPLETED,
+    ]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("name", BAD)
+def test_a_bad_version_is_reverted_within_the_exposure_that_is_allowed(name: str, seed: int) -> None:
+    fleet = SimulatedFleet(BAD[name], seed=seed)
+    fleet.run()
+    assert fleet.stage is RolloutStage.REVERTED
+    assert fleet.now < fleet.duration_s
+    assert fleet.exposed <= fleet.allowed_exposure()
+    for _ in range(60):  # nothing reaches it any more
+        fleet.step()
+    if fleet.bad_50_at is not None:
+        assert fleet.last_exposed_at <= fleet.bad_50_at + ROLLBACK_S
+
+
+def test_without_steering_nothing_reaches_the_new_version() -> None:
+    fleet = SimulatedFleet(bad())
+    fleet.environment.term = None
+    fleet.run(until=20.0)
+    assert (fleet.stage, fleet.exposed) == (RolloutStage.ANNOUNCED, 0)
+
+
+@pytest.mark.parametrize("at", [2.5, 5.0, 8.0, 9.0, 10.0])
+def test_a_controller_that_is_cut_off_leaves_the_new_version_no_requests(at: float) -> None:
+    fleet = SimulatedFleet(sound)
+    fleet.run(until=at)
+    fleet.environment.term = None
+    exposed_until = fleet.now + 2.0 + 0.2  # a grant's duration
+    fleet.run(until=at + 6.0)
+    assert fleet.last_exposed_at <= exposed_until
+
+
+@pytest.mark.parametrize("at", [1.0, 2.5, 5.0, 8.0, 9.0, 10.0])
+@pytest.mark.parametrize("answers", [sound, bad(since=6.0)], ids=["good", "bad"])
+def test_the_next_controller_goes_on_from_the_record(answers: Answers, at: float) -> None:
+    """It has heard all reports, as all registrars do; between the two nobody steers for 1.5 s."""
+    fleet = SimulatedFleet(answers)
+    fleet.run(until=at)
+    if not fleet.stage.running:
+        return
+    fleet.environment.term = None
+    fleet.run(until=at + 1.5)
+    fleet.environment.term = 2
+    fleet.run()
+    assert fleet.stage is (RolloutStage.COMPLETED if answers is sound else RolloutStage.REVERTED)
+    assert fleet.now < fleet.duration_s
+    if answers is not sound:
+        assert fleet.exposed <= fleet.allowed_exposure()
+
+
+@pytest.mark.parametrize("at", [1.0, 2.5, 5.0, 8.0, 9.0, 10.0])
+def test_a_controller_that_knows_nothing_but_the_record_ends_the_roll_out(at: float) -> None:
+    """As after a loss of power of all registrars: they take their reports anew, and the time since the order
+    for as long as the last recorded stage tells."""
+    fleet = SimulatedFleet(sound)
+    fleet.run(until=at)
+    fleet.steering, fleet.tallies = fleet.new_steering(), {}
+    fleet.environment.term = 2
+    fleet.run()
+    assert fleet.stage is RolloutStage.COMPLETED
+
+
+def test_a_decision_that_is_not_recorded_is_made_again_and_not_acted_on() -> None:
+    fleet = SimulatedFleet(sound)
+    fleet.environment.can_record = False
+    fleet.run(until=14.0)
+    assert (fleet.stage, fleet.exposed) == (RolloutStage.ANNOUNCED, 0)
+    fleet.environment.can_record = True
+    fleet.run()
+    assert fleet.stage is RolloutStage.COMPLETED
+
+
+def test_a_bad_version_gets_nothing_while_its_end_cannot_be_recorded() -> None:
+    fleet = SimulatedFleet(bad())
+    fleet.run(until=2.1)
+    fleet.environment.can_record = False
+    fleet.run(until=12.0)
+    assert fleet.stage is RolloutStage.CANARY
+    assert 0 < fleet.last_exposed_at < 6.0
+    assert not fleet.grants
+    fleet.environment.can_record = True
+    fleet.run()
+    assert fleet.stage is RolloutStage.REVERTED
+
+
+def test_a_roll_out_whose_endpoints_never_come_is_reverted_in_the_end() -> None:
+    fleet = SimulatedFleet(sound)
+    fleet.new = []
+    fleet.run()
+    assert (fleet.stage, fleet.exposed) == (RolloutStage.REVERTED, 0)
+
+
+def test_completion_waits_for_a_router_that_is_cut_off_until_the_deadline_is_near() -> None:
+    """It may still run requests at endpoints of the old version, which stop on completion."""
+    fleet = SimulatedFleet(sound)
+    fleet.cut_off_routers = {ROUTERS[0]}
+    fleet.run()
+    assert fleet.stage is RolloutStage.COMPLETED
+    assert 0.88 * fleet.duration_s <= fleet.now < fleet.duration_s
+
+
+def test_a_second_roll_out_begins_anew() -> None:
+    fleet = SimulatedFleet(bad())
+    fleet.run()
+    assert fleet.stage is RolloutStage.REVERTED
+    fleet.rollouts = fleet.rollouts.with_start(StartRollout("s", "v3", 15.0))
+    fleet.run(until=fleet.now + 3.0)
+    assert fleet.stage is RolloutStage.ANNOUNCED  # nothing of v3 is listed, and v2 is not taken for it
+    assert not fleet.grants
+
+
+def test_few_requests_are_enough_for_a_verdict_by_the_deadline() -> None:
+    for seed in SEEDS:
+        fleet = SimulatedFleet(sound, seed=seed, rate=40.0, endpoints=8)
+        fleet.run()
+        assert fleet.stage is RolloutStage.COMPLETED
+        assert fleet.now < fleet.duration_s
