Let the grant of a completed roll-out go out for 5 s more

What callers would have seen: a router that learns of the completion late, with its grant taken back at once, sends to endpoints that stop without draining. Found by reading; no run showed it.

Cause: the grant went with the roll-out's end, by a way that is faster than the feed of entries by which routers learn of that end. It is published on for 5 s after a completion, and taken back at once after a reversal. The test failed before.

--- a/plumline/registrar/service_rollout/loop.py
+++ b/plumline/registrar/service_rollout/loop.py
@@ -22,6 +22,7 @@
 IDLE_INTERVAL_S = 1.0  # between two looks otherwise, unless woken
 GRANT_INTERVAL_S = GRANT_DURATION_S / 4  # after which an unchanged grant goes out again
 DEFAULT_EXPOSURE = ExposureBound(share=0.1, slack=50.0)
+COMPLETED_GRANT_S = 5.0  # for which a completed roll-out's grant goes out: routers may lack the record yet
 RECORD_TIMEOUT_S = 1.0  # after which a decision that was not recorded is submitted again
 
 log = logs.logger("registrar")
@@ -74,6 +75,7 @@
         self._seen_at: dict[tuple[str, str], float] = {}  # when a roll-out was seen first, less its age
         self._granted: Grants | None = None  # the last that were published in this term
         self._grant_at = 0.0
+        self._completed: dict[str, tuple[str, float]] = {}  # target by service, and when it was decided
         self._submitted: dict[str, tuple[RolloutStage, float]] = {}  # by service, and when
         self._event = asyncio.Event()
 
@@ -97,9 +99,10 @@
             self.term, self._granted = term, None
             self.controllers.clear()
             self._submitted.clear()
+            self._completed.clear()
         if term is None:
             return IDLE_INTERVAL_S
-        grants: dict[str, RolloutGrant] = {}
+        grants = self._grants_of_completed(now)
         for service, record in running.items():
             decision = self._decide(record, now)
             if decision.grant is not None:
@@ -107,7 +110,20 @@
             if decision.stage is not None:
                 self._record(record, decision, term, now)
         self._publish(grants, now)
-        return STEP_INTERVAL_S if running else IDLE_INTERVAL_S
+        return STEP_INTERVAL_S if running or grants else IDLE_INTERVAL_S
+
+    def _grants_of_completed(self, now: float) -> dict[str, RolloutGrant]:
+        """Grants for routers that don't know yet that a roll-out is completed: the other versions stop."""
+        records = self.environment.records()
+        found: dict[str, RolloutGrant] = {}
+        for service, (target, seen_at) in list(self._completed.items()):
+            record = records.get(service)
+            is_over = now >= seen_at + COMPLETED_GRANT_S
+            if is_over or record is None or record.target != target:
+                del self._completed[service]
+            elif record.stage is RolloutStage.COMPLETED:
+                found[service] = RolloutGrant(target, RolloutStage.HOLDING, 1.0, None)
+        return found
 
     def _watch(self, running: Mapping[str, RolloutRecord], now: float) -> None:
         """Keeps what is known of these roll-outs, and forgets the rest."""
@@ -141,6 +157,8 @@
         if submitted is not None and submitted[0] is stage and now < submitted[1] + RECORD_TIMEOUT_S:
             return
         self._submitted[service] = stage, now
+        if stage is RolloutStage.COMPLETED:
+            self._completed[service] = record.target, now
         elapsed_s = now - self._seen_at[service, record.target]
         self._log(record, decision, elapsed_s)
         advance = AdvanceRollout(service, record.target, stage, term, round(elapsed_s * 1000))
--- a/tests/test_service_rollout_steering.py
+++ b/tests/test_service_rollout_steering.py
@@ -177,3 +177,21 @@
         fleet.run()
         assert fleet.stage is RolloutStage.COMPLETED
         assert fleet.now < fleet.duration_s
+
+
+# Guards against routers that learn late of the completion: without a grant they send to endpoints that stop.
+def test_the_grant_outlasts_the_completion_and_no_other_end() -> None:
+    fleet = SimulatedFleet(sound)
+    fleet.run()
+    assert fleet.stage is RolloutStage.COMPLETED
+    for _ in range(30):
+        fleet.step()
+        assert (fleet.grants["s"].stage, fleet.grants["s"].share) == (RolloutStage.HOLDING, 1.0)
+        assert fleet.now < fleet.granted_at + 1.0
+    for _ in range(30):
+        fleet.step()
+    assert not fleet.grants
+    reverted = SimulatedFleet(bad())
+    reverted.run()
+    assert reverted.stage is RolloutStage.REVERTED
+    assert not reverted.grants
