Roll out services whose new version has a single endpoint

What operators would have seen: a roll-out of a service with one endpoint was never begun, and reverted after twice its time. Two canaries were asked for, and against one endpoint no version could be found bad, since the rest has to speak against it too. Where the version has one endpoint, its fault counts as the version's.

--- a/plumline/registrar/service_rollout/controller.py
+++ b/plumline/registrar/service_rollout/controller.py
@@ -101,7 +101,14 @@
             self._progress.stage, self._progress.stage_at = record.stage, now
             self._progress.step_at = now
         recent = [reports.weights_since(now - length) for length in RECENT_WINDOWS_S]
-        judgement = judge(reports.weights, recent, reports.baseline(), frozenset(self.suspects))
+        target, serving = _by_version(record, fleet.endpoints)
+        judgement = judge(
+            reports.weights,
+            recent,
+            reports.baseline(),
+            frozenset(self.suspects),
+            single=len(target) == 1,
+        )
         if judgement.verdict is Verdict.BAD:
             return Decision(RolloutStage.REVERTED, None, "bad answers", judgement)
         if judgement.suspect is not None:
@@ -109,10 +116,9 @@
         share_of_time = self.elapsed_s(now) / record.duration_s
         if share_of_time >= OVERTIME:
             return Decision(RolloutStage.REVERTED, None, "not judged in time", judgement)
-        target, serving = _by_version(record, fleet.endpoints)
         match record.stage:
             case RolloutStage.ANNOUNCED:
-                decision = self._announced(target)
+                decision = self._announced(target, serving)
             case RolloutStage.CANARY:
                 requests = reports.request_rate(now) * record.duration_s
                 grant = self._canary_grant(record, target, serving, requests)
@@ -123,8 +129,8 @@
                 decision = self._holding(record, now, share_of_time, fleet, reports, judgement)
         return decision._replace(judgement=judgement)
 
-    def _announced(self, target: list[ListedEndpoint]) -> Decision:
-        if len(target) < MIN_CANARIES:
+    def _announced(self, target: list[ListedEndpoint], serving: list[ListedEndpoint]) -> Decision:
+        if len(target) < max(min(MIN_CANARIES, len(serving)), 1):
             return Decision(None, None, "no endpoints of the target version")
         return Decision(RolloutStage.CANARY, None, "endpoints of the target version are listed")
 
--- a/plumline/registrar/service_rollout/verdict.py
+++ b/plumline/registrar/service_rollout/verdict.py
@@ -75,15 +75,18 @@
     recent: Iterable[Weights],
     baseline: dict[Scope, Tally],
     suspects: frozenset[str] = frozenset(),
+    *,
+    single: bool = False,
 ) -> Judgement:
     """The verdict by all answers on trial so far, and by those of the windows that end now.
 
-    `baseline`: the answers of versions in service; `suspects`: endpoints that earlier judgements named.
+    `baseline`: the answers of versions in service; `suspects`: endpoints that earlier judgements named;
+    `single`: the version has one endpoint only, so that its fault can't be told from its version's.
     """
     whole = _by_scope(weights)
     for evidence in (whole, *map(_by_scope, recent)):
         for each in evidence:
-            if each.is_bad:
+            if each.is_bad or (single and each.total >= BAD_THRESHOLD):
                 return Judgement(Verdict.BAD, each.scope, each.total, each.answers)
     suspect = next((each.worst_endpoint for each in whole if each.worst >= SUSPECT_THRESHOLD), None)
     own = _by_scope(_without(weights, suspects | ({suspect} if suspect else set())))
--- a/tests/test_service_rollout_steering.py
+++ b/tests/test_service_rollout_steering.py
@@ -195,3 +195,12 @@
     reverted.run()
     assert reverted.stage is RolloutStage.REVERTED
     assert not reverted.grants
+
+
+@pytest.mark.parametrize("endpoints", [1, 2, 3])
+@pytest.mark.parametrize("answers", [sound, bad()], ids=["good", "bad"])
+def test_a_service_of_few_endpoints_is_rolled_out_too(answers: Answers, endpoints: int) -> None:
+    fleet = SimulatedFleet(answers, endpoints=endpoints)
+    fleet.run()
+    assert fleet.stage is (RolloutStage.COMPLETED if answers is sound else RolloutStage.REVERTED)
+    assert fleet.now < fleet.duration_s
