--- a/plumline/registrar/discovery.py
+++ b/plumline/registrar/discovery.py
@@ -10,7 +10,7 @@
 from plumline import logs
 from plumline.errors import PlumlineError
 from plumline.registrar.wakeups import Wait, wait_for
-from plumline.routing.fleet_state import ListedEndpoint
+from plumline.routing.fleet_state import Departures, ListedEndpoint
 from plumline.wire import calls
 from plumline.wire.calls import Answer, CallFailedError, CallWithdrawnError
 from plumline.wire.http import Address, address_from, parse_decimal
@@ -182,6 +182,7 @@
         self.next_call_at = 0.0  # earliest next call that the platform's rate allows
         self.published_key: dict[str, ListedEndpoint] | None = None  # None: nothing under this lease yet
         self.published_at = 0.0
+        self.last_read_at: float | None = None  # when the newest complete read under this lease began
         self.versions: dict[str, str] = {}  # of the last list, for the log
         self._event = asyncio.Event()
         self._never = asyncio.Event()
@@ -209,7 +210,7 @@
         now = self.clock()
         if not self.active:
             self.active, self.refresh_requested, self.failures = True, False, 0
-            self.next_read_at, self.published_key = now, None
+            self.next_read_at, self.published_key, self.last_read_at = now, None, None
         if self.refresh_requested and not self.failures:
             self.next_read_at = min(self.next_read_at, max(now, self.next_refresh_at))
         if now < self.next_read_at:
@@ -220,17 +221,19 @@
             endpoints = await self.fetch_endpoints()
         except CallWithdrawnError:
             return 0.0
-        except ListRefusedError as error:
-            return self._back_off(error.retry_after_s)
-        except (CallFailedError, ListInvalidError):
-            return self._back_off()
+        except (CallFailedError, ListInvalidError, ListRefusedError) as error:
+            return self._back_off(error)
+        self._log_read(now, endpoints)
         self.failures = 0
         self._publish_if_due(endpoints)
         self.next_read_at = max(now + self.interval_s, self.clock() + self.spacing_s)
         return self.next_read_at - self.clock()
 
-    def _back_off(self, retry_after_s: float = 0.0) -> float:
+    def _back_off(self, error: PlumlineError) -> float:
         """Delays the next read after a failed one. Returns the time (s) until then."""
+        if not self.failures:
+            log.warning(logs.event("list-unread", code=error.code, text=error.text))
+        retry_after_s = error.retry_after_s if isinstance(error, ListRefusedError) else 0.0
         self.failures += 1
         backoff_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** min(self.failures - 1, 8))
         jittered_s = backoff_s * (0.75 + self.jitter() / 2)
@@ -247,6 +250,21 @@
             self.environment.publish(endpoints)
             self._log_versions(versions_by_service(endpoints))
 
+    def _log_read(self, began_at: float, endpoints: Sequence[ListedEndpoint]) -> None:
+        """Logs the first complete read after failed ones, and one that shows endpoints leaving.
+
+        `gap_ms`: from the start of the previous complete read under this lease to the end of this one; an
+        endpoint was listed as leaving at most this long ago. "-" for the first read under a lease.
+        """
+        previous, self.last_read_at = self.last_read_at, began_at
+        gap_ms = "-" if previous is None else round((self.clock() - previous) * 1000)
+        if self.failures:
+            log.info(logs.event("list-read", failures=self.failures, gap_ms=gap_ms))
+        earlier = self.published_key or {}
+        departures = Departures.between(earlier, {endpoint.id: endpoint for endpoint in endpoints})
+        if departures.draining or departures.gone:
+            log.info(logs.event("endpoints-leaving", gap_ms=gap_ms, **departures.log_fields()))
+
     def _log_versions(self, versions: dict[str, str]) -> None:
         for service, listed in versions.items():
             if listed != self.versions.get(service):
--- a/plumline/router/subscriber.py
+++ b/plumline/router/subscriber.py
@@ -25,6 +25,7 @@
 from plumline.prefix_cache.events import PLACED_KIND
 from plumline.router.feed_source import FeedLag, FeedSource
 from plumline.routing.fleet import Fleet
+from plumline.routing.fleet_state import Departures
 from plumline.routing.mechanisms import MECHANISMS
 from plumline.routing.rollout_report import RolloutReport, ServiceReport
 from plumline.settings import Settings, SettingsFile
@@ -334,7 +335,12 @@
         if not self.soft_state.update(name, version, payload):
             return
         if name == "roster":
+            earlier = self.fleet.endpoints
             self.fleet.set_roster(payload)
+            departures = Departures.between(earlier, self.fleet.endpoints)
+            if departures.draining or departures.gone:
+                term, count = version
+                log.info(logs.event("endpoints-leaving", term=term, count=count, **departures.log_fields()))
         elif name == "marks":
             self.fleet.set_marks(payload)
         elif name == "stores":
--- a/plumline/routing/fleet_state.py
+++ b/plumline/routing/fleet_state.py
@@ -9,7 +9,7 @@
 """
 
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 from plumline.configuration.service_rollouts import RolloutStage
 
@@ -61,6 +61,38 @@
         )
 
 
+class DrainableEndpoint(Protocol):
+    """An endpoint in any of its representations."""
+
+    @property
+    def draining(self) -> bool:
+        """Whether the platform lists it as draining."""
+
+
+class Departures(NamedTuple):
+    """The endpoints that one list shows as leaving and an earlier one does not; ids in order."""
+
+    draining: tuple[str, ...]
+    gone: tuple[str, ...]  # no longer listed
+
+    @classmethod
+    def between(
+        cls, earlier: Mapping[str, DrainableEndpoint], later: Mapping[str, DrainableEndpoint]
+    ) -> "Departures":
+        """Compares two lists of endpoints by id."""
+        draining = [
+            key
+            for key, endpoint in later.items()
+            if endpoint.draining and not (key in earlier and earlier[key].draining)
+        ]
+        gone = [key for key in earlier if key not in later]
+        return cls(tuple(sorted(draining)), tuple(sorted(gone)))
+
+    def log_fields(self) -> dict[str, str]:
+        """The fields of a log event: ids separated by commas, "-" for none."""
+        return {name: ",".join(ids) or "-" for name, ids in self._asdict().items()}
+
+
 class RolloutState(NamedTuple):
     """An endpoint's state in a roll-out of versions, beyond what the platform lists."""
 
