A list of endpoints counts as published only under the term that published it

Cause: the discovery loop remembered the list that it had last handed to `publish`, not what had been published and under which term. A list read before the lease was won, read by a registrar that lost the lease and won it again between two polls, or turned down by the replicator counted as published; routers that hold a list of an earlier term then kept it until REPUBLISH_INTERVAL_S (5 s) was over, where DrainMs is 3 s.

Change: `publish` tells whether it published; what is remembered is the pair of term and list; a new term begins with a read at once, and a read that a change of the term overtakes is discarded.

--- a/plumline/registrar/discovery.py
+++ b/plumline/registrar/discovery.py
@@ -87,8 +87,11 @@
     def may_read(self) -> bool:
         """Whether this registrar may read the list at this moment."""
 
-    def publish(self, endpoints: Sequence[ListedEndpoint]) -> None:
-        """Publishes a complete list."""
+    def term(self) -> int | None:
+        """The term of the lease if it is held at this moment, else None."""
+
+    def publish(self, endpoints: Sequence[ListedEndpoint]) -> bool:
+        """Publishes a complete list under the present term; returns whether it was published."""
 
 
 class ListPage(NamedTuple):
@@ -98,6 +101,13 @@
     next_token: str | None  # None on the last page
 
 
+class Publication(NamedTuple):
+    """What was published last: equal values need no publication of their own."""
+
+    term: int | None  # of the lease; None: published without it
+    endpoints: dict[str, ListedEndpoint]  # by id, see `comparison_key`
+
+
 def parse_model_versions(items: Any) -> dict[str, int]:  # noqa: ANN401 (any JSON)
     """Parses `Models` of a list or a report: versions by model. Raises MALFORMED_BODY_ERRORS."""
     return {str(item[calls.NAME]): int(item.get(calls.VERSION, 1)) for item in items or ()}
@@ -175,12 +185,13 @@
         )
         self.spacing_s = 1 / (RATE_SHARE * max(settings.cloud_rate_per_s, MIN_RATE_PER_S))
         self.active = False  # whether reading was allowed at the last poll
+        self.term: int | None = None  # of the lease at the last poll
         self.refresh_requested = False
         self.failures = 0  # in a row
         self.next_read_at = 0.0
         self.next_refresh_at = 0.0  # earliest next read for `refresh_soon`
         self.next_call_at = 0.0  # earliest next call that the platform's rate allows
-        self.published_key: dict[str, ListedEndpoint] | None = None  # None: nothing under this lease yet
+        self.published: Publication | None = None  # None: nothing under this term yet
         self.published_at = 0.0
         self.last_read_at: float | None = None  # when the newest complete read under this lease began
         self.versions: dict[str, str] = {}  # of the last list, for the log
@@ -207,10 +218,9 @@
         if self.settings.cloud_api is None or not self.environment.may_read():
             self.active = False
             return STANDBY_INTERVAL_S
-        now = self.clock()
-        if not self.active:
-            self.active, self.refresh_requested, self.failures = True, False, 0
-            self.next_read_at, self.published_key, self.last_read_at = now, None, None
+        now, term = self.clock(), self.environment.term()
+        if not self.active or term != self.term:
+            self._begin_term(now, term)
         if self.refresh_requested and not self.failures:
             self.next_read_at = min(self.next_read_at, max(now, self.next_refresh_at))
         if now < self.next_read_at:
@@ -223,12 +233,20 @@
             return 0.0
         except (CallFailedError, ListInvalidError, ListRefusedError) as error:
             return self._back_off(error)
+        if self.environment.term() != term:
+            return 0.0  # another holder may have read and published a newer list in the meantime
         self._log_read(now, endpoints)
         self.failures = 0
         self._publish_if_due(endpoints)
         self.next_read_at = max(now + self.interval_s, self.clock() + self.spacing_s)
         return self.next_read_at - self.clock()
 
+    def _begin_term(self, now: float, term: int | None) -> None:
+        """Starts anew under a lease that has just been won, or without one: the list is read at once."""
+        self.active, self.term = True, term
+        self.refresh_requested, self.failures = False, 0
+        self.next_read_at, self.published, self.last_read_at = now, None, None
+
     def _back_off(self, error: PlumlineError) -> float:
         """Delays the next read after a failed one. Returns the time (s) until then."""
         if not self.failures:
@@ -244,10 +262,11 @@
     def _publish_if_due(self, endpoints: Sequence[ListedEndpoint]) -> None:
         if not self.environment.may_read():
             return
-        now, key = self.clock(), comparison_key(endpoints)
-        if key != self.published_key or now >= self.published_at + REPUBLISH_INTERVAL_S:
-            self.published_key, self.published_at = key, now
-            self.environment.publish(endpoints)
+        now, publication = self.clock(), Publication(self.term, comparison_key(endpoints))
+        if publication == self.published and now < self.published_at + REPUBLISH_INTERVAL_S:
+            return
+        if self.environment.publish(endpoints):
+            self.published, self.published_at = publication, now
             self._log_versions(versions_by_service(endpoints))
 
     def _log_read(self, began_at: float, endpoints: Sequence[ListedEndpoint]) -> None:
@@ -260,7 +279,7 @@
         gap_ms = "-" if previous is None else round((self.clock() - previous) * 1000)
         if self.failures:
             log.info(logs.event("list-read", failures=self.failures, gap_ms=gap_ms))
-        earlier = self.published_key or {}
+        earlier = self.published.endpoints if self.published else {}
         departures = Departures.between(earlier, {endpoint.id: endpoint for endpoint in endpoints})
         if departures.draining or departures.gone:
             log.info(logs.event("endpoints-leaving", gap_ms=gap_ms, **departures.log_fields()))
--- a/plumline/registrar/singleton_environments.py
+++ b/plumline/registrar/singleton_environments.py
@@ -50,14 +50,22 @@
         """
         return self._token() is not None or not self._list_is_known()
 
-    def publish(self, endpoints: Sequence[ListedEndpoint]) -> None:
-        """Publishes the list; without the lease only if none is known, and only to own subscribers."""
+    def term(self) -> int | None:
+        """The term of the lease if it is held at this moment, else None."""
+        return self._token()
+
+    def publish(self, endpoints: Sequence[ListedEndpoint]) -> bool:
+        """Publishes the list; without the lease only if none is known, and only to own subscribers.
+
+        Returns whether it was published.
+        """
         value = [endpoint.to_wire() for endpoint in endpoints]
         if (token := self._token()) is not None:
-            self._replicator.publish(Topic.ENDPOINTS, token, value)
-        elif value and not self._list_is_known():
+            published = self._replicator.publish(Topic.ENDPOINTS, token, value)
+        elif published := bool(value) and not self._list_is_known():
             self._replicator.publish_without_lease(Topic.ENDPOINTS, value)
         self._on_published()
+        return published
 
     def _list_is_known(self) -> bool:
         return self._replicator.soft_state.get(Topic.ENDPOINTS) is not None
--- a/plumline/registrar/soft_state_replication.py
+++ b/plumline/registrar/soft_state_replication.py
@@ -37,18 +37,20 @@
         self.publisher.publish_soft_state(update.topic)
         return True
 
-    def publish(self, topic: Topic, term: int, value: Any) -> None:  # noqa: ANN401
+    def publish(self, topic: Topic, term: int, value: Any) -> bool:  # noqa: ANN401
         """Publishes to registrars and routers, as the holder of the topic's lease in this term.
 
-        If a later term has already published, this is counted and nothing is published.
+        If a later term has already published, this is counted and nothing is published. Returns whether the
+        value was published.
         """
         version = self.soft_state.next_version(topic, term)
         if version is None:
             self.counters.add("topics.term-over")
-            return
+            return False
         self.soft_state.update(topic, version, value)
         self.publisher.publish_soft_state(topic)
         self.mesh.send_all(SoftStateUpdate(topic, version, value).to_wire())
+        return True
 
     def publish_without_lease(self, topic: Topic, value: Any) -> None:  # noqa: ANN401
         """Publishes to this registrar's own subscribers; any lease holder's value replaces it."""
--- a/tests/test_endpoint_discovery.py
+++ b/tests/test_endpoint_discovery.py
@@ -78,8 +78,12 @@
     def may_read(self) -> bool:
         return self.has_lease
 
-    def publish(self, endpoints: Sequence[ListedEndpoint]) -> None:
+    def term(self) -> int | None:
+        return 1 if self.has_lease else None
+
+    def publish(self, endpoints: Sequence[ListedEndpoint]) -> bool:
         self.published.append(list(endpoints))
+        return True
 
     async def wait(self, event: asyncio.Event, seconds: float) -> None:
         self.now += seconds
@@ -294,8 +298,12 @@
         self.checked.set()
         return self.has_lease
 
-    def publish(self, endpoints: Sequence[ListedEndpoint]) -> None:
+    def term(self) -> int | None:
+        return 1 if self.has_lease else None
+
+    def publish(self, endpoints: Sequence[ListedEndpoint]) -> bool:
         self.published.put_nowait(endpoints)
+        return True
 
 
 def test_run_reads_from_a_platform_on_a_socket_and_wakes_when_the_lease_is_won() -> None:
