Bound the pause between failed reads of the endpoint list by the drain time

After reads that fail the next one came up to 3.75 s later. DrainMs isn't counted while the platform is down, but it runs again from the moment it is back.

A Retry-After is heeded as before, up to 3 s.

--- a/plumline/registrar/discovery.py
+++ b/plumline/registrar/discovery.py
@@ -19,11 +19,13 @@
 READS_PER_DRAIN = 3  # within the time that an endpoint takes to drain
 REPUBLISH_INTERVAL_S = 5.0  # an unchanged list is published again after this
 MIN_REFRESH_INTERVAL_S = 1.0  # between two early reads requested by `refresh_soon`
-INITIAL_BACKOFF_S, MAX_BACKOFF_S = 0.3, 3.0
+INITIAL_BACKOFF_S = 0.3
+MAX_BACKOFF_SHARE = 1 / 2  # of the interval; a longer pause could hide an endpoint's whole drain
+MAX_RETRY_AFTER_S = 3.0
 RATE_SHARE = 0.7  # of the platform's rate; the rest is for calls in flight of the previous lease holder
 MIN_RATE_PER_S = 0.1
 STANDBY_INTERVAL_S = 0.5  # between two checks of a lease that another registrar holds, unless woken
-CALL_TIMEOUT_S = 1.0
+MAX_CALL_TIMEOUT_S = 1.0
 MAX_PAGES = 1000  # a longer list is taken for a cycle of page tokens
 MAX_RESTARTS = 2  # of one read, because a page token was refused
 TOKEN_REFUSED_STATUSES = frozenset({400, 404, 410})
@@ -183,6 +185,8 @@
         self.interval_s = min(
             MAX_INTERVAL_S, max(MIN_INTERVAL_S, settings.bounds.drain_ms / (READS_PER_DRAIN * 1000))
         )
+        self.call_timeout_s = min(MAX_CALL_TIMEOUT_S, self.interval_s)
+        self.max_backoff_s = self.interval_s * MAX_BACKOFF_SHARE
         self.spacing_s = 1 / (RATE_SHARE * max(settings.cloud_rate_per_s, MIN_RATE_PER_S))
         self.active = False  # whether reading was allowed at the last poll
         self.term: int | None = None  # of the lease at the last poll
@@ -253,9 +257,9 @@
             log.warning(logs.event("list-unread", code=error.code, text=error.text))
         retry_after_s = error.retry_after_s if isinstance(error, ListRefusedError) else 0.0
         self.failures += 1
-        backoff_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** min(self.failures - 1, 8))
+        backoff_s = min(self.max_backoff_s, INITIAL_BACKOFF_S * 2 ** min(self.failures - 1, 8))
         jittered_s = backoff_s * (0.75 + self.jitter() / 2)
-        delay_s = max(jittered_s, min(retry_after_s, MAX_BACKOFF_S))
+        delay_s = max(jittered_s, min(retry_after_s, MAX_RETRY_AFTER_S))
         self.next_read_at = self.clock() + delay_s
         return delay_s
 
@@ -323,7 +327,7 @@
             self.settings.cloud_api,
             query=urlencode({calls.PAGE_TOKEN: token}) if token else "",
             prepare=self._require_lease,
-            timeout_s=CALL_TIMEOUT_S,
+            timeout_s=self.call_timeout_s,
         )
         if answer.status == 200:
             return answer
