Statuses of cache stores count as published only under the term that published them

After a lease that was lost and won again between two of its checks, the statuses of the holder in between stayed in force for up to 5 s, and statuses that the replicator turned down counted as published.

Both loops use PublicationRecord now, which holds term, value and time of a publication.

Evidence: test_unchanged_statuses_are_published_again_under_a_new_term fails if the term is left out of the record, and passes. The fakes follow the interface; no check changed.

--- a/plumline/registrar/cache_stores.py
+++ b/plumline/registrar/cache_stores.py
@@ -20,6 +20,7 @@
     parse_cursor,
     parse_events,
 )
+from plumline.registrar.publication import REPUBLISH_INTERVAL_S, PublicationRecord
 from plumline.registrar.wakeups import Wait, wait_for
 from plumline.routing.fleet_state import StoreStatus
 from plumline.wire import calls
@@ -35,7 +36,6 @@
 STALE_CONNECTION_RESET_S = 0.2  # an earlier reset of a reused connection: it was closed while idle
 PROCESS_PAUSE_S = 0.3  # a time-out that fires later by more than this: this process itself was paused
 MAX_INVALID_ANSWERS = 2  # invalid answers in a row after which a store counts as down
-REPUBLISH_INTERVAL_S = 5.0  # unchanged statuses are published again after this
 RECONCILE_INTERVAL_S = 0.5  # between two checks of lease and configuration, unless woken
 
 StoreStatuses = dict[str, StoreStatus]  # by the store's name
@@ -44,14 +44,17 @@
 class CacheStoreEnvironment(Protocol):
     """What the monitor needs of the registrar that it runs in."""
 
+    def term(self) -> int | None:
+        """The term of the lease if it is held at this moment, else None."""
+
     def holds_lease(self) -> bool:
         """Whether the `discovery` lease is held at this moment."""
 
     def addresses(self) -> Mapping[str, Address]:
         """The addresses of the configured stores, by name."""
 
-    def publish(self, statuses: StoreStatuses) -> None:
-        """Publishes the statuses of all stores whose status is known."""
+    def publish(self, statuses: StoreStatuses) -> bool:
+        """Publishes the statuses of all stores whose status is known; returns whether it did."""
 
     def publish_events(self, address: Address, events: StoreEvents) -> None:
         """Publishes the events of the store at this address."""
@@ -117,8 +120,7 @@
         self.caller, self.environment = caller, environment
         self.clock, self.wait = clock, wait
         self.stores: dict[str, CacheStoreHealth] = {}  # by name
-        self.published: StoreStatuses | None = None  # under this lease
-        self.published_at = 0.0
+        self.published = PublicationRecord[StoreStatuses]()
         self._watches: dict[str, asyncio.Task[None]] = {}  # by the store's name
         self._event = asyncio.Event()
         self._never = asyncio.Event()
@@ -140,7 +142,7 @@
         """Watches the configured stores while the lease is held. Returns the time (s) to the next check."""
         if not self.environment.holds_lease():
             self._unwatch_all()
-            self.published = None
+            self.published.forget()
             return RECONCILE_INTERVAL_S
         configured = self.environment.addresses()
         for name, store in list(self.stores.items()):
@@ -154,9 +156,10 @@
                 self.stores[name] = store = CacheStoreHealth(address)
                 self._watches[name] = asyncio.ensure_future(self._watch(store))
         self._publish_if_due()
-        if not self.published:
+        if not self.published.value:
             return RECONCILE_INTERVAL_S
-        return min(RECONCILE_INTERVAL_S, max(self.published_at + REPUBLISH_INTERVAL_S - self.clock(), 0.0))
+        due_at = self.published.published_at + REPUBLISH_INTERVAL_S
+        return min(RECONCILE_INTERVAL_S, max(due_at - self.clock(), 0.0))
 
     def statuses(self) -> StoreStatuses:
         """The statuses of the stores whose status is known."""
@@ -175,14 +178,14 @@
             self._unwatch(name)
 
     def _publish_if_due(self) -> None:
-        if not self.environment.holds_lease():
+        term = self.environment.term()
+        if term is None:
             return
         statuses, now = self.statuses(), self.clock()
-        if self.published is None and self.stores and not statuses:
+        if self.published.value is None and self.stores and not statuses:
             return  # keeps the previous lease holder's statuses until one is known here
-        if statuses != self.published or now >= self.published_at + REPUBLISH_INTERVAL_S:
-            self.published, self.published_at = statuses, now
-            self.environment.publish(statuses)
+        if self.published.is_due(now, term, statuses) and self.environment.publish(statuses):
+            self.published.record(now, term, statuses)
 
     async def _watch(self, store: CacheStoreHealth) -> None:
         """Calls the store repeatedly, until cancelled."""
--- a/plumline/registrar/discovery.py
+++ b/plumline/registrar/discovery.py
@@ -9,6 +9,7 @@
 
 from plumline import logs
 from plumline.errors import PlumlineError
+from plumline.registrar.publication import PublicationRecord
 from plumline.registrar.wakeups import Wait, wait_for
 from plumline.routing.fleet_state import Departures, ListedEndpoint
 from plumline.wire import calls
@@ -17,7 +18,6 @@
 
 MIN_INTERVAL_S, MAX_INTERVAL_S = 0.4, 1.2  # between the starts of two reads
 READS_PER_DRAIN = 3  # within the time that an endpoint takes to drain
-REPUBLISH_INTERVAL_S = 5.0  # an unchanged list is published again after this
 MIN_REFRESH_INTERVAL_S = 1.0  # between two early reads requested by `refresh_soon`
 INITIAL_BACKOFF_S = 0.3
 MAX_BACKOFF_SHARE = 1 / 2  # of the interval; a longer pause could hide an endpoint's whole drain
@@ -103,13 +103,6 @@
     next_token: str | None  # None on the last page
 
 
-class Publication(NamedTuple):
-    """What was published last: equal values need no publication of their own."""
-
-    term: int | None  # of the lease; None: published without it
-    endpoints: dict[str, ListedEndpoint]  # by id, see `comparison_key`
-
-
 def parse_model_versions(items: Any) -> dict[str, int]:  # noqa: ANN401 (any JSON)
     """Parses `Models` of a list or a report: versions by model. Raises MALFORMED_BODY_ERRORS."""
     return {str(item[calls.NAME]): int(item.get(calls.VERSION, 1)) for item in items or ()}
@@ -195,8 +188,7 @@
         self.next_read_at = 0.0
         self.next_refresh_at = 0.0  # earliest next read for `refresh_soon`
         self.next_call_at = 0.0  # earliest next call that the platform's rate allows
-        self.published: Publication | None = None  # None: nothing under this term yet
-        self.published_at = 0.0
+        self.published = PublicationRecord[dict[str, ListedEndpoint]]()  # of `comparison_key`
         self.last_read_at: float | None = None  # when the newest complete read under this lease began
         self.versions: dict[str, str] = {}  # of the last list, for the log
         self._event = asyncio.Event()
@@ -249,7 +241,8 @@
         """Starts anew under a lease that has just been won, or without one: the list is read at once."""
         self.active, self.term = True, term
         self.refresh_requested, self.failures = False, 0
-        self.next_read_at, self.published, self.last_read_at = now, None, None
+        self.next_read_at, self.last_read_at = now, None
+        self.published.forget()
 
     def _back_off(self, error: PlumlineError) -> float:
         """Delays the next read after a failed one. Returns the time (s) until then."""
@@ -266,11 +259,9 @@
     def _publish_if_due(self, endpoints: Sequence[ListedEndpoint]) -> None:
         if not self.environment.may_read():
             return
-        now, publication = self.clock(), Publication(self.term, comparison_key(endpoints))
-        if publication == self.published and now < self.published_at + REPUBLISH_INTERVAL_S:
-            return
-        if self.environment.publish(endpoints):
-            self.published, self.published_at = publication, now
+        now, key = self.clock(), comparison_key(endpoints)
+        if self.published.is_due(now, self.term, key) and self.environment.publish(endpoints):
+            self.published.record(now, self.term, key)
             self._log_versions(versions_by_service(endpoints))
 
     def _log_read(self, began_at: float, endpoints: Sequence[ListedEndpoint]) -> None:
@@ -283,7 +274,7 @@
         gap_ms = "-" if previous is None else round((self.clock() - previous) * 1000)
         if self.failures:
             log.info(logs.event("list-read", failures=self.failures, gap_ms=gap_ms))
-        earlier = self.published.endpoints if self.published else {}
+        earlier = self.published.value or {}
         departures = Departures.between(earlier, {endpoint.id: endpoint for endpoint in endpoints})
         if departures.draining or departures.gone:
             log.info(logs.event("endpoints-leaving", gap_ms=gap_ms, **departures.log_fields()))
--- a/plumline/registrar/singleton_environments.py
+++ b/plumline/registrar/singleton_environments.py
@@ -89,6 +89,10 @@
         self._document: Document | None = None  # that `_addresses` was computed from
         self._addresses: dict[str, Address] = {}
 
+    def term(self) -> int | None:
+        """The term of the lease if it is held at this moment, else None."""
+        return self._token()
+
     def holds_lease(self) -> bool:
         """Whether the lease is held at this moment."""
         return self._token() is not None
@@ -104,11 +108,12 @@
             }
         return self._addresses
 
-    def publish(self, statuses: StoreStatuses) -> None:
-        """Publishes the statuses, if the lease is still held."""
-        if (token := self._token()) is not None:
-            value = {name: status.to_wire() for name, status in statuses.items()}
-            self._replicator.publish(Topic.CACHE_STORES, token, value)
+    def publish(self, statuses: StoreStatuses) -> bool:
+        """Publishes the statuses, if the lease is still held. Returns whether they were published."""
+        if (token := self._token()) is None:
+            return False
+        value = {name: status.to_wire() for name, status in statuses.items()}
+        return self._replicator.publish(Topic.CACHE_STORES, token, value)
 
     def publish_events(self, address: Address, events: StoreEvents) -> None:
         """Sends a store's events to all routers: evictions, and additions of large enough prefixes."""
--- a/tests/test_cache_stores.py
+++ b/tests/test_cache_stores.py
@@ -76,6 +76,7 @@
     def __init__(self, stores: Mapping[str, tuple[str, int]] | None = None) -> None:
         self.now = 100.0
         self.has_lease = True
+        self.lease_term = 1
         self.stores = dict({"a": A} if stores is None else stores)
         self.idle: dict[tuple[str, int], None] = {}
         self.calls: asyncio.Queue[Call] = asyncio.Queue()
@@ -92,14 +93,18 @@
             wait=self.wait,
         )
 
+    def term(self) -> int | None:
+        return self.lease_term if self.has_lease else None
+
     def holds_lease(self) -> bool:
         return self.has_lease
 
     def addresses(self) -> Mapping[str, tuple[str, int]]:
         return self.stores
 
-    def publish(self, statuses: StoreStatuses) -> None:
+    def publish(self, statuses: StoreStatuses) -> bool:
         self.published.put_nowait(to_wire(statuses))
+        return True
 
     def publish_events(self, address: tuple[str, int], events: StoreEvents) -> None:
         self.events.append((address, events))
@@ -406,6 +411,17 @@
     assert await world.next_published() == {"a": up()}
 
 
+# Guards against statuses of another lease holder that stay in force after the lease was lost and won again.
+@in_world()
+async def test_unchanged_statuses_are_published_again_under_a_new_term(world: World) -> None:
+    await world.bring_up()
+    await world.reconcile()
+    assert world.published.empty()
+    world.lease_term += 2
+    await world.reconcile()
+    assert await world.next_published() == {"a": up()}
+
+
 @in_world(a=A, b=B)
 async def test_stores_are_watched_separately_and_published_together(world: World) -> None:
     first, second = await world.next_call(), await world.next_call()
@@ -495,14 +511,18 @@
         self.peer = peer
         self.monitor = CacheStoreMonitor(self.caller, self, wait=self.wait)
 
+    def term(self) -> int | None:
+        return 1
+
     def holds_lease(self) -> bool:
         return True
 
     def addresses(self) -> Mapping[str, tuple[str, int]]:
         return {"a": self.peer.address}
 
-    def publish(self, statuses: StoreStatuses) -> None:
+    def publish(self, statuses: StoreStatuses) -> bool:
         self.published.put_nowait(to_wire(statuses))
+        return True
 
     def publish_events(self, address: tuple[str, int], events: StoreEvents) -> None:
         pass
