A sender keeps its signals between two runs of its own

Cause: a sender whose successor has ended starts again in the same process with a new event loop. The old loop removes the handlers when it closes, and signals were blocked only where the process ends, so until the new loop had its handlers the default action applied.

Change: signals are blocked after every run, and handle_signals unblocks them once its handlers are there, so one that came in between is handled then.

Evidence: test_sigterm_between_two_runs_of_a_sender_ends_it_cleanly sends SIGTERM exactly there: -15 before, 0 now.

--- a/message_sender/__main__.py
+++ b/message_sender/__main__.py
@@ -128,8 +128,7 @@
 def run() -> int:
     with asyncio.Runner(loop_factory=Loop) as runner:
         code = runner.run(serve(read_config()))
-        if code != EXIT_RESTART:
-            block_signals()
+        block_signals()  # until the next run, if there is one, installs its handlers
         return code
 
 
--- a/plumline/process_signals.py
+++ b/plumline/process_signals.py
@@ -13,17 +13,21 @@
 def handle_signals(
     loop: asyncio.AbstractEventLoop, on_terminate: Callable[[], None], on_reload: Callable[[], None]
 ) -> None:
-    """Installs the handlers. Call it before any other work: without a handler, a signal kills the process."""
+    """Installs the handlers. Call it before any other work: without a handler, a signal kills the process.
+
+    Signals that were blocked by `block_signals` and arrived meanwhile are handled now.
+    """
     loop.add_signal_handler(signal.SIGTERM, on_terminate)
     loop.add_signal_handler(signal.SIGHUP, on_reload)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
 
 
 def block_signals() -> None:
     """Blocks the handled signals in the calling thread and in child processes; they stay pending.
 
-    Called in threads other than the main one, and by a process that has finished its work: the event loop
-    removes its handlers when it closes, and the default action would then end the process with the signal's
-    status instead of 0.
+    Called in threads other than the main one, and by a process that has finished its work or starts it anew
+    with another event loop: a loop removes its handlers when it closes, and the default action would then end
+    the process with the signal's status instead of 0.
     """
     signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
--- a/tests/test_sender_drain.py
+++ b/tests/test_sender_drain.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import json
+import multiprocessing
 import os
 import random
 import signal
@@ -18,6 +19,7 @@
 
 import message_sender.__main__ as sender_main
 from message_sender.net.handover import HandoverState
+from message_sender.net.sender import EXIT_RESTART
 
 CLIENTS = 8
 READY_LINE = rb"ready on (\S+):(\d+)"
@@ -270,3 +272,52 @@
             return await soon(sender_main.serve(sender_main.config_from(config_json(platform), tmp_path)))
 
     assert asyncio.run(scene()) == 0
+
+
+class RestartingSender:
+    """A sender whose first run ends as its successor has ended, and whose second run lasts until SIGTERM."""
+
+    runs = 0
+
+    def __init__(self, *_: object) -> None:
+        self.terminated = asyncio.Event()
+
+    async def start(self) -> None:
+        type(self).runs += 1
+
+    def terminate(self) -> None:
+        self.terminated.set()
+
+    async def run(self) -> int:
+        if self.runs == 1:
+            return EXIT_RESTART
+        await self.terminated.wait()
+        return 0
+
+
+def run_with_sigterm_between_two_runs() -> None:
+    """Runs the program in this process, which gets SIGTERM after the first run and before the second."""
+    reads = 0
+
+    def read_config() -> Any:  # noqa: ANN401
+        nonlocal reads
+        reads += 1
+        if reads > 1:
+            os.kill(os.getpid(), signal.SIGTERM)
+        return sender_main.Config(**dict.fromkeys(sender_main.Config.__annotations__))
+
+    async def acquire(_: object) -> None:
+        return None
+
+    sender_main.read_config = read_config
+    sender_main.acquire_state_folder = acquire
+    sender_main.Sender = RestartingSender  # type: ignore[assignment,misc]
+    raise SystemExit(sender_main.main())
+
+
+# Guards against a sender that SIGTERM ends with -15 while it starts again after its successor has ended.
+def test_sigterm_between_two_runs_of_a_sender_ends_it_cleanly() -> None:
+    child = multiprocessing.get_context("spawn").Process(target=run_with_sigterm_between_two_runs)
+    child.start()
+    child.join(20)
+    assert child.exitcode == 0
