Tests of the hand-over start the successor's interpreter before their clients

Cause, traced: both tests keep a client waiting while the next process starts. A sender closes a connection that is idle for 3.0 s and refuses a request that is half read for 2.5 s, as it should; an interpreter takes longer than that to start on a busy machine.

The tests now prepare a process that has imported the program and run it when the clients are there. What is checked is unchanged, and the same program runs.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,7 +14,7 @@
 from helpers import SECOND, World, endpoint, sent
 from peers import Peer, Platform, ask, config_json, host, message, play, read_reply, soon
 from peers import World as Sending
-from test_process import running, start, wait_for
+from test_process import prepared, running, start, wait_for
 
 from message_sender import interface as face
 from message_sender.interface import Outcome
@@ -38,12 +38,12 @@
 @play
 async def test_a_call_that_is_out_is_answered_to_the_new_process(tmp_path: Path) -> None:
     async with first(tmp_path, **AT_MOST_ONCE) as (receiver, platform, old, address, told, state):
-        reader, writer = await asyncio.open_connection(*address)
-        writer.write(message("m1"))
-        assert (await read_reply(reader)).status == 202
-        call = await receiver.next()
-        async with running(told, state) as (_, same):
-            assert same == address
+        async with prepared(told, state) as run_successor:
+            reader, writer = await asyncio.open_connection(*address)
+            writer.write(message("m1"))
+            assert (await read_reply(reader)).status == 202
+            call = await receiver.next()
+            assert await run_successor() == address
             old.send_signal(signal.SIGTERM)
             assert await soon(old.wait()) == 0
             call.answer(200)
@@ -63,15 +63,16 @@
 @play
 async def test_a_request_that_is_half_read_is_read_to_its_end_there(tmp_path: Path) -> None:
     async with first(tmp_path) as (receiver, _, old, address, told, state):
-        whole = message("m1", b"0123456789" * 400)
-        parts = [whole[:30], whole[:-3000], whole[:-1]]
-        streams = [await asyncio.open_connection(*address) for _ in parts]
-        for part, (_, writer) in zip(parts, streams, strict=True):
-            writer.write(part.replace(b": m1\r", b": m%d\r" % len(part)))
-            await writer.drain()
-        assert (await ask(address, message("m2"))).status == 202  # read after the incomplete ones
-        (await receiver.next()).answer(200)
-        async with running(told, state):
+        async with prepared(told, state) as run_successor:
+            whole = message("m1", b"0123456789" * 400)
+            parts = [whole[:30], whole[:-3000], whole[:-1]]
+            streams = [await asyncio.open_connection(*address) for _ in parts]
+            for part, (_, writer) in zip(parts, streams, strict=True):
+                writer.write(part.replace(b": m1\r", b": m%d\r" % len(part)))
+                await writer.drain()
+            assert (await ask(address, message("m2"))).status == 202  # read after the incomplete ones
+            (await receiver.next()).answer(200)
+            await run_successor()
             old.send_signal(signal.SIGTERM)
             await soon(old.wait())
             bodies = {}
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,7 +6,7 @@
 import re
 import signal
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -17,12 +17,32 @@
 ROOT = Path(__file__).parent.parent
 
 
-async def start(told: dict[str, Any] | str, state: Path) -> asyncio.subprocess.Process:
+#: The program in an interpreter that has imported it, and runs it when a line comes on standard input.
+PREPARED_PROGRAM = """
+import sys
+import message_sender.__main__ as program
+print("imported", file=sys.stderr, flush=True)
+sys.stdin.readline()
+sys.exit(program.main())
+"""
+
+
+async def start(
+    told: dict[str, Any] | str,
+    state: Path,
+    *arguments: str,
+    **options: Any,  # noqa: ANN401
+) -> asyncio.subprocess.Process:
     config = state.parent / "config.json"
     config.write_text(told if isinstance(told, str) else json.dumps(told))
     environment = os.environ | {"BALANCER_CONFIG": str(config), "BALANCER_STATE": str(state)}
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "message_sender", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE
+        sys.executable,
+        *(arguments or ("-m", "message_sender")),
+        cwd=ROOT,
+        env=environment,
+        stderr=asyncio.subprocess.PIPE,
+        **options,
     )
 
 
@@ -34,17 +54,45 @@
 
 
 @asynccontextmanager
-async def running(told: dict[str, Any], state: Path) -> AsyncIterator[tuple[asyncio.subprocess.Process, Any]]:
-    process = await start(told, state)
+async def ended_at_exit(process: asyncio.subprocess.Process) -> AsyncIterator[None]:
+    """Kills the process at the end of the block, if it still runs."""
     try:
-        found = await wait_for(process, rb"ready on (\S+):(\d+)")
-        yield process, (found[1].decode(), int(found[2]))
+        yield
     finally:
         if process.returncode is None:
             process.kill()
             await process.wait()
 
 
+async def ready_address(process: asyncio.subprocess.Process) -> tuple[str, int]:
+    """Waits until the sender takes clients; returns their address."""
+    found = await wait_for(process, rb"ready on (\S+):(\d+)")
+    return found[1].decode(), int(found[2])
+
+
+@asynccontextmanager
+async def running(told: dict[str, Any], state: Path) -> AsyncIterator[tuple[asyncio.subprocess.Process, Any]]:
+    process = await start(told, state)
+    async with ended_at_exit(process):
+        yield process, await ready_address(process)
+
+
+@asynccontextmanager
+async def prepared(told: dict[str, Any], state: Path) -> AsyncIterator[Callable[[], Awaitable[Any]]]:
+    """A process that has imported the program; the call that it yields runs it, and returns its clients'
+    address. A busy machine takes seconds to start an interpreter, longer than a sender waits for clients."""
+    process = await start(told, state, "-c", PREPARED_PROGRAM, stdin=asyncio.subprocess.PIPE)
+
+    async def run() -> tuple[str, int]:
+        assert process.stdin is not None
+        process.stdin.write(b"\n")
+        return await ready_address(process)
+
+    async with ended_at_exit(process):
+        await wait_for(process, rb"imported")
+        yield run
+
+
 @play
 async def test_sigkill_loses_no_accepted_message(tmp_path: Path) -> None:
     state = tmp_path / "state"
