--- a/review/4/case.py
+++ b/review/4/case.py
@@ -64,6 +64,7 @@
     await clients.prompt("south", "aaaa0001")
     if TROUBLE:
         deployment.cut_router()
+        asyncio.get_running_loop().call_later(CUT_S, deployment.heal_router)
     cut_at = time.monotonic()
     await asyncio.sleep(0.1)
     north = {"Name": "north", "ApiKeys": [TENANTS["north"]], "Priority": 1, "Isolated": True}
@@ -75,12 +76,12 @@
     for number in range(3):  # parts that are first read for north, and then asked for by south
         await clients.prompt("north", f"bbbb000{number}")
         await clients.prompt("south", f"bbbb000{number}")
-    if TROUBLE:
-        await asyncio.sleep(cut_at + CUT_S - time.monotonic())
-        deployment.heal_router()
+    await asyncio.sleep(cut_at + CUT_S + 2.0 - time.monotonic())
+    await clients.prompt("north", "cccc0001")  # after the cut
+    await clients.prompt("south", "cccc0001")
     runs = deployment.engines[0].runs
-    if len([each for each in runs if each.id in clients.sent]) < len(clients.sent):
-        raise CouldNotRunError("not every prompt has run")
+    if not runs or runs[0].id not in clients.sent:
+        raise CouldNotRunError("the first prompt has not run")
     held = True
     for each in runs:
         tenant, sent_at = clients.sent[each.id]
