Routers share no cached prompts by a configuration that may be too old

What callers saw: nothing. A tenant becomes Isolated while a router is cut off from the registrars, or frozen.

Cause: a decision from state of unknown age. A router takes who shares the cache from the newest configuration it has. What it knew of its age came from the arrival of heartbeats, which wait in sockets, and was used for nothing but 401, 404 and keys.

Change: a router measures the age by a round trip that it begins. It sends its steady time to a registrar, which asks a majority of the acceptors whether its view is the newest and names its newest synced entry. Once that is applied, all that was acknowledged before the time of the request is. Past 0.9 of ConfigurationApplyMs a request gets a salt of its own, and 401 and 404 become 503. An earlier release is told from this one by a message that it passes over.

Why it works: who handles a request that was sent later than the bound after an acknowledgement, by a configuration not older than the bound, has the change. It makes no difference what a router that wakes reads first.

Frozen forms: three kinds of messages and three names in the log are recorded in files of their own.

--- a/plumline/coordination/replication.py
+++ b/plumline/coordination/replication.py
@@ -354,6 +354,19 @@
             return
         self._reads.read(callback, can_commit=self.can_commit())
 
+    def confirm_index(self, callback: Callable[[int | None], None]) -> None:
+        """Call back with an index up to which all changes acknowledged before this call are found, or with
+        None if that is not certain.
+
+        Every member syncs an entry before the entry can be committed. So a caught-up member of the newest
+        view has all that was acknowledged, even where it doesn't know yet that it is committed.
+        """
+        if not self.role.is_member() or not self.caught_up:
+            callback(None)
+            return
+        synced_index = self.synced_index
+        self._reads.confirm_view(lambda confirmed: callback(synced_index if confirmed else None))
+
     # Messages.
 
     def on_message(self, sender: str, wire: Message) -> bool:
--- a/plumline/registrar/message_handlers.py
+++ b/plumline/registrar/message_handlers.py
@@ -6,6 +6,7 @@
 from plumline.coordination.environment import Message
 from plumline.counters import Counters
 from plumline.errors import FrameError
+from plumline.registrar.feed_confirmation import FeedConfirmer
 from plumline.registrar.forwarding import RequestForwarder
 from plumline.registrar.peer_messages import (
     PromptEvents,
@@ -19,7 +20,12 @@
 from plumline.registrar.router_directory import RouterDirectory
 from plumline.registrar.singleton_roles import SingletonRoles
 from plumline.registrar.soft_state_replication import SoftStateReplicator
-from plumline.registrar.subscriber_messages import PROMPT_EVENTS_KIND, REFRESH_ENDPOINTS_KIND
+from plumline.registrar.subscriber_messages import (
+    CONFIRMATION_REQUEST_KIND,
+    PROMPT_EVENTS_KIND,
+    REFRESH_ENDPOINTS_KIND,
+    ConfirmationRequest,
+)
 from plumline.routing.rollout_report import ROLLOUT_REPORT_KIND, RolloutReport
 from plumline.wire.frame_link import FrameLink
 from plumline.wire.mesh import Mesh
@@ -87,13 +93,20 @@
     """Handles messages from routers. Raising FrameError closes the router's connection."""
 
     def __init__(
-        self, publisher: FeedPublisher, roles: SingletonRoles, mesh: Mesh, clock: Callable[[], float]
+        self,
+        publisher: FeedPublisher,
+        confirmer: FeedConfirmer,
+        roles: SingletonRoles,
+        mesh: Mesh,
+        clock: Callable[[], float],
     ) -> None:
         """`clock()`: s, steady."""
-        self.publisher, self.roles, self.mesh, self.clock = publisher, roles, mesh, clock
+        self.publisher, self.confirmer = publisher, confirmer
+        self.roles, self.mesh, self.clock = roles, mesh, clock
 
     def on_connected(self, link: FrameLink) -> None:
         """A router has connected."""
+        self.confirmer.on_subscriber_connected(link)
         self.publisher.on_subscriber_connected(link, self.clock())
 
     def on_message(self, link: FrameLink, message: Message) -> None:
@@ -106,6 +119,8 @@
         elif message[0] == PROMPT_EVENTS_KIND:
             self.publisher.forward_prompt_events(message, link)
             self.mesh.send_all(message)
+        elif message[0] == CONFIRMATION_REQUEST_KIND:
+            self.confirmer.on_request(link, ConfirmationRequest.from_wire(message))
         else:
             self.publisher.on_subscriber_message(link, message, self.clock())
 
@@ -120,4 +135,5 @@
 
     def on_disconnected(self, link: FrameLink) -> None:
         """A router's connection has ended."""
+        self.confirmer.on_subscriber_disconnected(link)
         self.publisher.on_subscriber_disconnected(link)
--- a/plumline/registrar/process.py
+++ b/plumline/registrar/process.py
@@ -17,6 +17,7 @@
 from plumline.errors import ToleranceUnattainableError
 from plumline.process_signals import cancel_on_event, handle_signals
 from plumline.registrar.durable_state import DurableState
+from plumline.registrar.feed_confirmation import FeedConfirmer
 from plumline.registrar.message_handlers import PeerMessageHandler, RouterMessageHandler
 from plumline.registrar.operator_api import OperatorApi
 from plumline.registrar.peer_messages import SubscriberReport
@@ -95,6 +96,7 @@
         self.publisher = FeedPublisher(
             self.core.chain, soft_state, heartbeat_s, is_current=lambda: self.core.is_up_to_date(clock())
         )
+        self.confirmer = FeedConfirmer(self.core.chain.confirm_index)
         self.durable_state.start_writing(self.core.records)
         self.operator_api = OperatorApi(self.core, self.mesh.send, self.counters)
         self.zones = {self.address: settings.zone}  # of registrars, by address
@@ -121,7 +123,8 @@
             self.counters,
             clock,
         )
-        self.mesh.attach(peer_handler, RouterMessageHandler(self.publisher, self.roles, self.mesh, clock))
+        router_handler = RouterMessageHandler(self.publisher, self.confirmer, self.roles, self.mesh, clock)
+        self.mesh.attach(peer_handler, router_handler)
         self.operator_server: Server | None = None
         self.stop_requested = asyncio.Event()
         self.core.restore(clock(), self.durable_state.records)  # may commit and publish entries from the disk
@@ -203,6 +206,7 @@
             self.core.set_seeds(changed.seeds)
         self.core.tick(now)
         self.operator_api.forwarder.tick(now)
+        self.confirmer.tick()
         self.roles.check_leases(now)
 
     def _renew_dead_links(self, now: float) -> None:
--- a/plumline/registrar/subscriber_messages.py
+++ b/plumline/registrar/subscriber_messages.py
@@ -7,10 +7,13 @@
     ["heartbeat", index, loads]         heartbeat with the loads that it sees, by service
     ["hurry"]                           asks for a new endpoint list
     ["news", origin, events]            prompt events, which are forwarded unchanged
+    ["confirm", sent_at_us]             asks for a confirmation; only of a registrar with that feature
 
 To a router, besides `topic` (soft state), `entry`, `state` and `news`:
 
     ["beat", is_current, committed_index, registrars, router_count, loads]
+    ["features", names]                 what the registrar's release supports, as a connection begins
+    ["confirmed", sent_at_us, index]    the entries up to `index` have all that was acknowledged before
 """
 
 from typing import NamedTuple
@@ -23,6 +26,8 @@
 SNAPSHOT_KIND = "state"  # [kind, index, the state after that entry]
 PROMPT_EVENTS_KIND = "news"  # [kind, address that the events are about, events]
 REFRESH_ENDPOINTS_KIND = "hurry"  # [kind]
+CONFIRMATION_REQUEST_KIND = "confirm"  # [kind, time of the request]
+CONFIRMATIONS_FEATURE = "confirmations"  # confirmation requests are answered
 
 
 class Subscribe(NamedTuple):
@@ -57,6 +62,45 @@
         return ["beat", *self]
 
 
+class ConfirmationRequest(NamedTuple):
+    """A router asks up to which entry the feed is complete."""
+
+    sent_at_us: int  # microseconds of the router's steady clock; returned in the reply
+
+    def to_wire(self) -> Message:
+        """Encodes the message as plain values."""
+        return ["confirm", *self]
+
+    @classmethod
+    def from_wire(cls, message: Message) -> "ConfirmationRequest":
+        """Parses the message. Raises FrameError if it is malformed."""
+        match message:
+            case ["confirm", int(sent_at_us)]:
+                return cls(sent_at_us)
+        raise FrameError("malformed confirmation request")
+
+
+class FeedConfirmed(NamedTuple):
+    """The reply: all changes acknowledged before the request arrived are among the entries up to `index`."""
+
+    sent_at_us: int  # of the request
+    index: int
+
+    def to_wire(self) -> Message:
+        """Encodes the message as plain values."""
+        return ["confirmed", *self]
+
+
+class FeedFeatures(NamedTuple):
+    """What the registrar's release supports beyond the first form of the feed."""
+
+    confirmations: bool  # whether it answers confirmation requests
+
+    def to_wire(self) -> Message:
+        """Encodes the message as plain values."""
+        return ["features", [CONFIRMATIONS_FEATURE] if self.confirmations else []]
+
+
 SubscriberMessage = Subscribe | SelectPrimary | RouterHeartbeat
 
 
--- a/plumline/router/admission.py
+++ b/plumline/router/admission.py
@@ -139,7 +139,7 @@
 def deny(router: RouterState, status: int, name: str) -> Denial:
     """Denies a request. A router whose configuration may be outdated answers 503 instead of a 4xx, which
     clients do not retry."""
-    if router.fleet.fresh:
+    if router.fleet.fresh and router.has_recent_configuration():
         return Denial(status, name)
     return Denial(503, f"{name}-unsure", UNCONFIGURED_RETRY_AFTER_S)
 
--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -269,7 +269,8 @@
         if prompt.model:
             if MECHANISMS.priorities:
                 headers.append((b"priority", b"%d" % request.priority))
-            if self.salt is None:  # the weights are unknown: a random salt prevents any sharing
+            if self.salt is None:  # a random salt prevents any sharing
+                self.count("unshared")
                 headers.append((b"cache-salt", b"x%032x" % self.router.rng.getrandbits(128)))
             else:
                 headers.append((b"cache-salt", self.salt.text.encode()))
--- a/plumline/router/feed_source.py
+++ b/plumline/router/feed_source.py
@@ -17,6 +17,7 @@
     is_current: bool = False  # whether the registrar reports that it certainly has the newest entries
     last_current_at: float = 0.0  # when it last reported that, or when the link was opened
     committed_index: int = 0  # index of the newest entry that it reported
+    confirms: bool = False  # whether its release answers confirmation requests
     last_feed_at: float = 0.0  # when it last sent an entry or a snapshot, or was asked for them
 
     def last_received_at(self) -> float:
--- a/plumline/router/router_state.py
+++ b/plumline/router/router_state.py
@@ -20,6 +20,7 @@
 from plumline.router.relay import Headers, value_of
 from plumline.router.upstream import ConnectionPool
 from plumline.routing.cache_salt import AcknowledgedVersions
+from plumline.routing.configuration_age import AgeLimits
 from plumline.routing.endpoint_load import Affinity, EndpointLoad
 from plumline.routing.fleet import Address, Endpoint, Fleet
 from plumline.routing.fleet_state import StoreStatus
@@ -81,6 +82,7 @@
     ) -> None:
         bounds = settings.bounds
         self.bounds = bounds
+        self.age_limits = AgeLimits.from_bounds(bounds)
         self.fleet, self.counters, self.clock = fleet, counters, clock
         self.node, self.zone, self.regions = settings.node_name, settings.zone, settings.zones
         self.rng = rng or random.Random()
@@ -276,12 +278,21 @@
                 case Stored(epoch, changes):
                     self.index.store(node).apply_events(epoch, changes)
 
+    def has_recent_configuration(self) -> bool:
+        """Whether the configuration is recent enough to tell which tenants share the prefix cache, and which
+        routes and keys do not exist."""
+        return self.configuration_age_s() <= self.age_limits.configuration_s
+
     def may_accept_revoked_keys(self) -> bool:
         """Whether this router may have missed the revocation of a key. With `RevocationClosed`, a router that
         has been out of date for too long accepts no keys."""
         bounds, stale_s = self.bounds, self.clock() - self.fleet.last_fresh_at
         return bounds.revocation_closed and stale_s > bounds.revocation_ms / 1000 * REVOCATION_SHARE
 
+    def configuration_age_s(self) -> float:
+        """The greatest possible age of the configuration in s."""
+        return self.fleet.configuration_age.seconds(self.clock())
+
     def load(self, key: str) -> EndpointLoad:
         """This router's load on the endpoint with this id."""
         return self.loads.get(key) or self.loads.setdefault(key, EndpointLoad())
--- a/plumline/router/selection.py
+++ b/plumline/router/selection.py
@@ -27,7 +27,7 @@
     """An eligible endpoint for the request, and the expected cost of sending it there."""
 
     endpoint: Endpoint
-    salt: Salt | None  # for its version of the weights; None: the cache may not be shared
+    salt: Salt | None  # for its version of the weights; None: nothing may be shared
     candidate: Candidate
 
 
@@ -40,7 +40,7 @@
     store: Service | None  # the cache store for this prompt's shared parts
     rates: ServiceReadRates
     reading_ms: float  # of a typical long prompt of the service
-    salts: dict[int, Salt] = field(default_factory=dict)  # by version of the weights
+    salts: dict[int, Salt | None] = field(default_factory=dict)  # by version of the weights
     holders: dict[str, list[PrefixHolder]] = field(default_factory=dict)  # by salt
 
 
@@ -165,14 +165,13 @@
         return full
 
     def salt_at(self, endpoint: Endpoint, context: ChoiceContext) -> Salt | None:
-        """The salt for the endpoint's version of the weights; None if the version is unknown."""
+        """The salt for the endpoint's version of the weights; None if nothing may be shared."""
         version = self.version_at(endpoint)
         if version is None:
             return None
-        salt = context.salts.get(version)
-        if salt is None:
-            salt = context.salts[version] = self.salt_of(version)
-        return salt
+        if version not in context.salts:
+            context.salts[version] = self.salt_of(version)
+        return context.salts[version]
 
     def is_salt_valid(self, salt: Salt, endpoint: Endpoint) -> bool:
         """Whether a salt from an earlier selection is still valid for this endpoint."""
@@ -184,9 +183,11 @@
         model = self.request.prompt.model
         return self.router.version_at(endpoint, model) if model else None
 
-    def salt_of(self, version: int) -> Salt:
+    def salt_of(self, version: int) -> Salt | None:
         """The salt for this version of the weights under the current configuration; the request may have been
-        admitted under an earlier one."""
+        admitted under an earlier one. None if the configuration is too old to tell who shares the cache."""
+        if not self.router.has_recent_configuration():
+            return None
         fleet = self.router.fleet
         generation = fleet.state.shared_cache_generation if fleet.state else 0
         return salt_for(version, generation, cache_owner_of(self.request.tenant, fleet.table))
--- a/plumline/routing/fleet.py
+++ b/plumline/routing/fleet.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from plumline.routing.configuration_age import ConfigurationAge
 from plumline.routing.fleet_state import ListedEndpoint, RolloutGrant, RolloutState, StoreStatus
 
 Address = tuple[str, int]
@@ -79,6 +80,7 @@
         self.grants: dict[str, RolloutGrant] = {}  # by service
         self.endpoints: dict[str, Endpoint] = {}
         self.routers = 1  # alive in the fleet, this one included
+        self.configuration_age = ConfigurationAge()
         self.last_fresh_at = -1e9  # steady s at which `fresh` last held
         self.fresh = False  # the feed's source is currently in contact with the core's majority
         #: Called with "configuration", "endpoints", "stores", "grants" or "members".
--- a/tests/core_schedule.py
+++ b/tests/core_schedule.py
@@ -86,6 +86,8 @@
         asked = self.random.choice(list(self.nodes.values()))
         if asked.core is None or self.now < asked.frozen_until:
             return
+        if self.confirmations:
+            self.confirm(asked)
         if self.random.random() < 0.4:
             to = asked.core.tail_address()
             if to and (asked.name, to) not in self.cut:
--- a/tests/core_world.py
+++ b/tests/core_world.py
@@ -109,13 +109,16 @@
         unrestricted_wipes: bool = False,
         sync_first: bool = True,
         identity_first: bool = True,
+        confirmations: bool = False,
         mutate: Callable[[Core], None] = lambda core: None,
     ) -> None:
         """`unrestricted_wipes`: a disk may also be lost while no other caught-up member of the newest chain
-        is up, or during a change of view."""
+        is up, or during a change of view. `confirmations`: nodes are asked for them, which changes the
+        messages that a seed loses."""
         self.seed, self.copies, self.first_start, self.mutate = seed, copies, first_start, mutate
         self.unrestricted_wipes = unrestricted_wipes
         self.sync_first, self.identity_first = sync_first, identity_first
+        self.confirmations = confirmations
         self.random = Random(seed)
         self.now = 0.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
@@ -423,6 +426,19 @@
         if node.core and self.now >= node.frozen_until:
             node.core.chain.read(on_state)
 
+    def confirm(self, node: Node) -> None:
+        """Ask the node up to which index it has all that was acknowledged before."""
+        floor = max(self.acknowledged.values(), default=0)
+
+        def on_index(index: int | None) -> None:
+            if index is not None:
+                self.counts["confirmations"] += 1
+                if index < floor:
+                    raise ViolationError(f"{node.name} confirms {index} after {floor} was acknowledged")
+
+        if node.core and self.now >= node.frozen_until:
+            node.core.chain.confirm_index(on_index)
+
     # Invariants
 
     @property
--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -1,6 +1,7 @@
 """Scripted endpoints on loopback and a router's request path in front of them, for tests."""
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
@@ -160,7 +161,7 @@
     ) -> None:
         self.fleet, self.counters = Fleet(), Counters()
         self.writers: list[asyncio.StreamWriter] = []  # kept, as a collected writer closes its connection
-        self.fleet.fresh = True
+        self.fleet.fresh, self.fleet.configuration_age.confirmed_at = True, math.inf
         if configuration is not None:
             self.fleet.state = ReplicatedConfiguration()
             self.fleet.table = RouteTable(configuration)
--- a/tests/drain_world.py
+++ b/tests/drain_world.py
@@ -2,6 +2,7 @@
 keep their connections; all in virtual time (`virtual_net`)."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -182,6 +183,7 @@
         loop.listeners[ENDPOINT] = lambda: SlowEndpoint(self)
         self.router = Router(settings)
         fleet = self.router.fleet
+        fleet.configuration_age.confirmed_at = math.inf
         fleet.fresh, fleet.state, fleet.table = True, ReplicatedConfiguration(), RouteTable(configuration())
         endpoint = {"id": "e", "service": "s", "address": f"{ENDPOINT[0]}:{ENDPOINT[1]}", "zone": "z"}
         fleet.set_roster([endpoint | {"slots": 64, "draining": False, "cold_ms": 0, "models": {}}])
--- a/tests/test_core_explorer.py
+++ b/tests/test_core_explorer.py
@@ -30,11 +30,12 @@
 )
 def test_random_schedules_violate_no_invariant(size: int, schedules: int, seconds: float) -> None:
     count = max(1, int(schedules * SCHEDULE_MULTIPLIER))
-    counts = explore(range(count), size, seconds=seconds)
+    counts = explore(range(count), size, seconds=seconds, confirmations=True)
     print(size, dict(counts))
     assert counts["schedules"] == count
     assert counts["acknowledged"] > 2 * count  # otherwise the schedules tested nothing
     assert counts["reads"] > count
+    assert counts["confirmations"] > count
     assert counts["views"] > count
     assert counts["wipe"] > count / 4
 
@@ -61,6 +62,24 @@
         answer(self.state if self.is_tail() and self.caught_up else None)
 
 
+class ConfirmsWithoutAsking(ChainReplica):
+    def confirm_index(self, callback: Callable[[int | None], None]) -> None:
+        callback(self.synced_index if self.role.is_member() and self.caught_up else None)
+
+
+class ConfirmsOnlyCommitted(ChainReplica):
+    """Without the entries that are synced here and not known to be committed."""
+
+    def confirm_index(self, callback: Callable[[int | None], None]) -> None:
+        super().confirm_index(lambda index: callback(None if index is None else self.committed_index))
+
+
+class ConfirmsBeforeItHasCaughtUp(ChainReplica):
+    def confirm_index(self, callback: Callable[[int | None], None]) -> None:
+        index = self.synced_index
+        self._reads.confirm_view(lambda confirmed: callback(index if confirmed else None))
+
+
 class DiscardsNothing(ReplicaStorage):
     def discard_after(self, number: int) -> None:
         pass
@@ -145,6 +164,9 @@
             {"seeds": 1} if kind is CommitsWithAnyCopies else {}
         )  # so that the chain starts with one member
         yield pytest.param({"mutate": replace_part("chain", kind), **options}, id=kind.__name__)
+    for kind in (ConfirmsWithoutAsking, ConfirmsOnlyCommitted, ConfirmsBeforeItHasCaughtUp):
+        mutate = replace_part("chain", kind)
+        yield pytest.param({"mutate": mutate, "confirmations": True}, id=kind.__name__)
     yield pytest.param(
         {"mutate": replace_part("chain.storage", DiscardsNothing)}, id=DiscardsNothing.__name__
     )
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -89,6 +89,10 @@
         assert not peer.heads
         router.fleet.fresh = False  # the router's configuration may be outdated
         assert (await router.ask())[0] == 503
+        router.fleet.fresh = True
+        assert (await router.ask())[0] == 401
+        router.fleet.configuration_age.confirmed_at = router.dispatcher.clock() - 60.0
+        assert [(await router.ask(path))[0] for path in ("/a/b", "/other/")] == [503, 503]
 
     run_with_timeout(work())
 
--- a/tests/test_frozen_forms.py
+++ b/tests/test_frozen_forms.py
@@ -24,6 +24,7 @@
 MESSAGES_SINCE = recorded("messages_since") | recorded("messages_with_base")
 MESSAGES_SINCE |= recorded("messages_with_rollouts")
 MESSAGES_ADDED, RECORDS_ADDED = recorded("messages_added"), recorded("records_added")  # kinds, likewise
+MESSAGES_ADDED |= recorded("messages_with_confirmations")
 
 
 # Names that operators, the platform and other programs use.
@@ -104,8 +105,8 @@
 
     Which examples come first hangs on how fast a start is, and loads on what reading is taken to cost; a view
     may end with its base; a release names its features. What changed with these stands in `messages_since`,
-    `messages_with_base` and `messages_with_rollouts`, new kinds in `messages_added`; kinds and types stay as
-    they were recorded.
+    `messages_with_base` and `messages_with_rollouts`, new kinds in `messages_added` and
+    `messages_with_confirmations`; kinds and types stay as they were recorded.
     """
     found, expected, since = code.messages_sent(), recorded("messages"), MESSAGES_SINCE
     assert not expected.keys() & MESSAGES_ADDED.keys()
@@ -154,7 +155,7 @@
 
 def test_the_names_in_the_log() -> None:
     found, expected = code.names_logged(), recorded("logged")
-    for file in ("logged_since", "logged_added", "logged_with_reads"):
+    for file in ("logged_since", "logged_added", "logged_with_reads", "logged_with_confirmations"):
         for name, added in recorded(file).items():
             assert not set(added) & set(expected[name])
             expected[name] = sorted([*expected[name], *added])
--- a/tests/test_isolation.py
+++ b/tests/test_isolation.py
@@ -160,6 +160,46 @@
     run_with_timeout(work())
 
 
+# Guards against the same by a router that was frozen or is cut off: it can't know of the change (review/4).
+@pytest.mark.parametrize("tenant", [HALL, LIBRARY])
+def test_a_request_at_a_router_whose_configuration_is_too_old_shares_nothing(tenant: str) -> None:
+    async def work() -> None:
+        peer = ScriptedEndpoint("e0", *[answer()] * 6)
+        router, operator = await router_and_operator(peer)
+        operator.set_tenants(LIBRARY_ISOLATED)
+        age, limit_s = router.fleet.configuration_age, router.dispatcher.age_limits.configuration_s
+        for age_s in (limit_s + 0.01, limit_s + 60.0, limit_s + 60.0, limit_s / 2):
+            age.confirmed_at = router.dispatcher.clock() - age_s
+            assert (await router.ask(X_Api_Key=f"key-{tenant}", **SHORT))[0] == 200
+        *outdated, recent = [head["cache-salt"] for head in peer.heads]
+        assert len({*outdated, "v1w0", "v1w1", "v1t:library", "v1t:hall"}) == len(outdated) + 4
+        assert recent == ("v1t:library" if tenant == LIBRARY else "v1w1")
+        assert all("kv-fetch" not in head and "kv-save" not in head for head in peer.heads)
+
+    run_with_timeout(work())
+
+
+# Guards against a choice that was made in time and is sent when the configuration has become too old.
+def test_a_request_whose_configuration_becomes_too_old_while_it_connects_shares_nothing() -> None:
+    async def work() -> None:
+        peer = ScriptedEndpoint("e0", answer())
+        router, _ = await router_and_operator(peer)
+        connect = router.dispatcher.pool.connect
+
+        async def connect_late(key: str, address: Address) -> UpstreamConnection:
+            connection = await connect(key, address)
+            router.fleet.configuration_age.confirmed_at = router.dispatcher.clock() - 60.0
+            router.dispatcher.pool.connect = connect  # type: ignore[method-assign]
+            return connection
+
+        router.dispatcher.pool.connect = connect_late  # type: ignore[method-assign]
+        assert (await router.ask(X_Api_Key="key-library", **SHORT))[0] == 200
+        (head,) = peer.heads
+        assert not head["cache-salt"].startswith("v1")
+
+    run_with_timeout(work())
+
+
 def test_a_request_that_waits_while_its_tenant_begins_to_share_uses_the_shared_cache() -> None:
     async def work() -> None:
         operator: Operator
--- a/tests/test_message_handlers.py
+++ b/tests/test_message_handlers.py
@@ -44,7 +44,10 @@
             self.counters,
             lambda: self.now,
         )
-        self.clients = RouterMessageHandler(self.publisher, self.roles, self.mesh, lambda: self.now)
+        self.confirmer: Any = Mock()
+        self.clients = RouterMessageHandler(
+            self.publisher, self.confirmer, self.roles, self.mesh, lambda: self.now
+        )
 
 
 def test_soft_state_of_a_peer_goes_to_subscribers_and_roles_only_if_it_is_newer() -> None:
--- a/tests/wire_world.py
+++ b/tests/wire_world.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -610,6 +611,7 @@
     async def run(self, loop: VirtualLoop) -> None:
         self.loop = loop
         fleet = Fleet()
+        fleet.configuration_age.confirmed_at = math.inf
         fleet.fresh, fleet.state, fleet.table = True, ReplicatedConfiguration(), RouteTable(configuration())
         settings = Settings("n", "10.0.0.1", (1, 1), zone="z", bounds=Bounds(), first_start=True)
         roster = []
