A cut-off router stops accepting keys by the confirmed age of its configuration

The time was counted from the last look at which no source was silent yet, so that the time until a source counts as silent (1.2 s) came on top of 0.8 of RevocationMs.

Change: keys are accepted while the configuration's age, as registrars have confirmed it, is at most 0.9 of RevocationMs. Fleet.last_fresh_at, a second notion of age, is gone, and may_accept_revoked_keys, which said the opposite of its name.

--- a/plumline/router/admission.py
+++ b/plumline/router/admission.py
@@ -69,7 +69,7 @@
     table = router.fleet.table
     if table is None:
         return Denial(503, "no-configuration", UNCONFIGURED_RETRY_AFTER_S)
-    if router.may_accept_revoked_keys():
+    if not router.knows_keys():
         return Denial(503, "revocation-unsure", UNCONFIGURED_RETRY_AFTER_S)
     route = table.match(exchange.host, exchange.path)
     if route is None:
--- a/plumline/router/router_state.py
+++ b/plumline/router/router_state.py
@@ -34,7 +34,6 @@
 from plumline.settings import Settings
 
 CONNECT_TIMEOUT_S = 0.3
-REVOCATION_SHARE = 0.8  # of RevocationMs; the rest is left for a request's time in transit
 UNREPORTED_STORE = StoreStatus(up=True, epoch=0)  # assumed until the core reports the store
 
 log = logs.logger("dispatch")
@@ -283,11 +282,9 @@
         routes and keys do not exist."""
         return self.configuration_age_s() <= self.age_limits.configuration_s
 
-    def may_accept_revoked_keys(self) -> bool:
-        """Whether this router may have missed the revocation of a key. With `RevocationClosed`, a router that
-        has been out of date for too long accepts no keys."""
-        bounds, stale_s = self.bounds, self.clock() - self.fleet.last_fresh_at
-        return bounds.revocation_closed and stale_s > bounds.revocation_ms / 1000 * REVOCATION_SHARE
+    def knows_keys(self) -> bool:
+        """Whether the configuration is recent enough to accept API keys."""
+        return self.configuration_age_s() <= self.age_limits.keys_s
 
     def configuration_age_s(self) -> float:
         """The greatest possible age of the configuration in s."""
--- a/plumline/router/subscriber.py
+++ b/plumline/router/subscriber.py
@@ -154,8 +154,6 @@
     def _update_freshness(self, now: float) -> None:
         """The configuration counts as fresh if a source is current and no reported entry is overdue."""
         self.fleet.fresh = bool(self._current_sources()) and self.lag.duration_s(now) <= LAG_TIMEOUT_S
-        if self.fleet.fresh:
-            self.fleet.last_fresh_at = now
 
     def _replace_source(self, source: FeedSource, now: float, reason: str) -> None:
         self.counters.add(f"feed.left.{reason}")
--- a/plumline/routing/configuration_age.py
+++ b/plumline/routing/configuration_age.py
@@ -28,11 +28,15 @@
     """
 
     configuration_s: float  # which tenants share the prefix cache; which routes and keys do not exist
+    keys_s: float  # which tenant an API key belongs to; infinite where keys may outlive their removal
 
     @classmethod
     def from_bounds(cls, bounds: Bounds) -> "AgeLimits":
         """The limits that the settings' bounds allow."""
-        return cls(configuration_s=bounds.configuration_apply_ms / 1000 * LIMIT_SHARE)
+        return cls(
+            configuration_s=bounds.configuration_apply_ms / 1000 * LIMIT_SHARE,
+            keys_s=bounds.revocation_ms / 1000 * LIMIT_SHARE if bounds.revocation_closed else math.inf,
+        )
 
 
 class _UnappliedConfirmation(NamedTuple):
--- a/plumline/routing/fleet.py
+++ b/plumline/routing/fleet.py
@@ -81,7 +81,6 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.routers = 1  # alive in the fleet, this one included
         self.configuration_age = ConfigurationAge()
-        self.last_fresh_at = -1e9  # steady s at which `fresh` last held
         self.fresh = False  # the feed's source is currently in contact with the core's majority
         #: Called with "configuration", "endpoints", "stores", "grants" or "members".
         self.watchers: list[Callable[[str], None]] = []
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -8,6 +8,7 @@
 from plumline.configuration.replicated_state import ReplicatedConfiguration
 from plumline.configuration.route_table import RouteTable
 from plumline.router.request_handler import READING_POLL_S, STARTUP_S
+from plumline.routing.configuration_age import AgeLimits
 from plumline.wire.exchange import Exchange
 from tests.dispatch_world import (
     LONG,
@@ -35,13 +36,15 @@
         peer = ScriptedEndpoint("e1", answer())
         router = await start_router(document(), peer)
         dispatcher = router.dispatcher
-        router.fleet.last_fresh_at = dispatcher.clock() - 60.0
+        age = router.fleet.configuration_age
+        age.confirmed_at = dispatcher.clock() - 60.0
         assert (await router.ask())[
             0
         ] == 200  # without `RevocationClosed`: served with the known configuration
-        dispatcher.bounds = replace(dispatcher.bounds, revocation_closed=True, revocation_ms=5000)
+        bounds = replace(dispatcher.bounds, revocation_closed=True, revocation_ms=5000)
+        dispatcher.age_limits = AgeLimits.from_bounds(bounds)
         assert (await router.ask())[0] == 503
-        router.fleet.last_fresh_at = dispatcher.clock() - 3.0
+        age.confirmed_at = dispatcher.clock() - 3.0
         assert (await router.ask())[0] == 200
         assert len(peer.heads) == 2
 
--- a/tests/test_feed_confirmation.py
+++ b/tests/test_feed_confirmation.py
@@ -95,7 +95,9 @@
 
 def test_limits_follow_the_bounds() -> None:
     bounds = Bounds(configuration_apply_ms=2000, revocation_ms=5000)
-    assert AgeLimits.from_bounds(bounds) == AgeLimits(2.0 * LIMIT_SHARE)
+    assert AgeLimits.from_bounds(bounds) == AgeLimits(2.0 * LIMIT_SHARE, math.inf)
+    closed = AgeLimits.from_bounds(replace(bounds, revocation_closed=True))
+    assert closed.keys_s == 5.0 * LIMIT_SHARE
 
 
 @given(
--- a/tests/test_outdated_router.py
+++ b/tests/test_outdated_router.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import frozen_adapter
+import pytest
 from frozen_story import (
     CORES,
     ENDPOINTS,
@@ -24,6 +25,7 @@
 from frozen_story import settings_text as base_settings_text
 
 APPLY_S = 2.0  # ConfigurationApplyMs
+REVOCATION_S = 5.0  # RevocationMs
 CUT_ROUTER = ROUTERS[0]
 TENANTS = ("north", "south")
 PROMPT = {"Model_Name": "m", "Prompt_Prefix": "p1:800,p2:20", "Token_Counts": "820,8"}
@@ -159,3 +161,21 @@
             assert [await system.salt_of(router, "north") for router in ROUTERS] == ["v1w0", "v1w0"]
 
     play(scenario)
+
+
+# Guards against requests that run with a key that was taken away more than RevocationMs before (review/3,
+# CONFIG).
+@pytest.mark.parametrize("cut_after_s", [0.0, 0.1, 0.2, 0.3, 0.4])
+def test_a_cut_off_router_accepts_no_key_that_may_have_been_taken_away(cut_after_s: float) -> None:
+    async def scenario(system: System) -> None:
+        await asyncio.sleep(cut_after_s)
+        system.cut()
+        acknowledged_at = await system.replace(document(2, listed=("south",)))
+        while (sent_at := system.now()) < acknowledged_at + REVOCATION_S + 1.0:
+            run = await system.ask(CUT_ROUTER, "north")
+            late_s = sent_at - acknowledged_at
+            assert run is None or late_s <= REVOCATION_S, f"run {late_s:.3f} s after the acknowledgement"
+            assert run is not None or late_s > REVOCATION_S * 0.7, f"refused after {late_s:.3f} s"
+            await asyncio.sleep(0.02)
+
+    play(scenario, revocation_closed=True)
