Confirmation requests in a module of their own; they follow the smallest limit

The subscriber had the requests, the age and its log line beside the choice of sources; ConfirmationRequester has them now. The interval of the requests follows the smallest of the limits, keys included, so that a short RevocationMs is kept without refusing keys in contact.

--- a/plumline/router/subscriber.py
+++ b/plumline/router/subscriber.py
@@ -8,8 +8,8 @@
 entry; it becomes the primary if the primary lags. Entries are applied in order of their index, so a running
 router never reverts to an older configuration.
 
-The age of the configuration is not known from what arrives, as it may have waited in a socket. So the router
-asks the primary for confirmations, and all sources when it gets none (`plumline.routing.configuration_age`).
+Confirmations, from which the age of the configuration follows, are requested from the sources as well
+(`plumline.router.confirmation_requester`).
 """
 
 import asyncio
@@ -26,7 +26,7 @@
 from plumline.counters import Counters
 from plumline.errors import FrameError, PlumlineError
 from plumline.prefix_cache.events import PLACED_KIND
-from plumline.registrar.subscriber_messages import CONFIRMATIONS_FEATURE, ConfirmationRequest
+from plumline.router.confirmation_requester import ConfirmationRequester
 from plumline.router.feed_source import FeedLag, FeedSource
 from plumline.routing.configuration_age import AgeLimits
 from plumline.routing.fleet import Fleet
@@ -45,11 +45,7 @@
 LAG_TIMEOUT_S = 0.5  # for a reported entry, or a chunk of it, to arrive: slightly over one heartbeat
 STALE_TIMEOUT_S = 1.0  # for which a source may report that it is not current
 BACKOFF_S = 2.0  # for which a replaced source is not tried while there are others
-CONFIRMATION_INTERVAL_S = 0.4  # between confirmation requests to the primary
-MISSED_CONFIRMATIONS = 2  # after which all sources are asked
-CONFIRMATIONS_PER_LIMIT = 4  # at the least, within the greatest age at which the configuration is used
 FULL_REPORT_INTERVAL_S = 1.5  # between full reports on a roll-out
-MICROSECONDS = 1_000_000  # in a second
 INCARNATION_BITS = 48  # of the random number that identifies one run of the process
 RECONNECT_BACKOFF_S = BACKOFF_S / 4  # after a connection that ended or could not be opened
 
@@ -79,17 +75,12 @@
         self.primary: FeedSource | None = None  # sends entries, and carries prompt events both ways
         self.backoff_until: dict[str, float] = {}  # by address
         self.lag = FeedLag()
+        self.confirmations = ConfirmationRequester(fleet, AgeLimits.from_bounds(settings.bounds))
         self.state = ReplicatedConfiguration()  # the newest received
         self.applied_index = 0  # index of its newest entry
         #: Returns this router's reports on running roll-outs, by service; True: full reports.
         self.rollout_reports: Callable[[bool], dict[str, ServiceReport]] = lambda full: {}
         self._incarnation = random.getrandbits(INCARNATION_BITS)
-        self._age_limit_s = AgeLimits.from_bounds(settings.bounds).configuration_s
-        self._confirmation_interval_s = min(
-            CONFIRMATION_INTERVAL_S, self._age_limit_s / CONFIRMATIONS_PER_LIMIT
-        )
-        self._is_outdated = True  # as last logged; a router starts without a configuration
-        self._next_confirmation_at = 0.0  # monotonic s
         self._reported_to: FeedSource | None = None  # received the last roll-out report
         self._next_full_report_at = 0.0  # monotonic s
         self._reported: dict[str, ServiceReport] = {}  # the last report, without its tallies
@@ -287,10 +278,9 @@
                 case ["topic", str(name), [int(term), int(count)], payload]:
                     self._on_soft_state(name, (term, count), payload)
                 case ["features", list(names)]:
-                    source.confirms = CONFIRMATIONS_FEATURE in names
-                    self._request_confirmation(source, now)
+                    self.confirmations.on_features(source, names, now)
                 case ["confirmed", int(sent_at_us), int(index)]:
-                    self._on_confirmed(now, sent_at_us / MICROSECONDS, index)
+                    self.confirmations.on_confirmed(sent_at_us, index, now)
                 case ["news", str(origin), list(events)]:
                     if origin != self.settings.node_name:
                         self.on_prompt_events(origin, events)
@@ -303,8 +293,7 @@
         _, source.is_current, source.committed_index, registrars, router_count, loads = message
         if source.is_current:
             self.lag.on_committed(source.committed_index, self.applied_index, now)
-            if not source.confirms:  # an earlier release: its heartbeats count from their arrival
-                self._on_confirmed(now, now, source.committed_index)
+            self.confirmations.on_heartbeat(source, now)
             self.on_fleet_loads(loads)
             source.last_current_at = now
             self.registrars = {str(address): str(zone) for address, zone in registrars}
@@ -369,35 +358,6 @@
         elif name == "grants":
             self.fleet.set_grants(payload)
 
-    # The age of the configuration.
-
-    def _request_confirmations(self, now: float) -> None:
-        """Asks the primary for a confirmation, and all sources once the newest one is too old."""
-        if now < self._next_confirmation_at:
-            return
-        self._next_confirmation_at = now + self._confirmation_interval_s
-        overdue_s = MISSED_CONFIRMATIONS * self._confirmation_interval_s
-        is_overdue = self.fleet.configuration_age.seconds(now) > overdue_s
-        for source in self.sources.values():
-            if source is self.primary or is_overdue:
-                self._request_confirmation(source, now)
-
-    def _log_age(self, now: float) -> None:
-        """Logs when the configuration becomes too old for some decisions, and when it no longer is."""
-        age_s = self.fleet.configuration_age.seconds(now)
-        is_outdated = age_s > self._age_limit_s
-        if is_outdated != self._is_outdated:
-            self._is_outdated = is_outdated
-            log.info(logs.event("configuration-outdated", on=is_outdated, seconds=round(age_s, 2)))
-
-    def _request_confirmation(self, source: FeedSource, now: float) -> None:
-        if source.confirms and source.link is not None:
-            source.link.send(ConfirmationRequest(int(now * MICROSECONDS)).to_wire())
-
-    def _on_confirmed(self, now: float, requested_at: float, index: int) -> None:
-        age = self.fleet.configuration_age
-        age.on_confirmed(min(requested_at, now), index, self.fleet.applied_index)
-
     # To the registrars.
 
     def _send_heartbeats(self) -> None:
@@ -431,8 +391,7 @@
             if (changed := self.settings_file.poll(now)) is not None:
                 self.seeds = changed.seeds
             self.reconcile_sources(now)
-            self._request_confirmations(now)
-            self._log_age(now)
+            self.confirmations.tick(now, self.sources.values(), self.primary)
             self._report_rollouts(now)
             if now >= next_heartbeat_at:
                 next_heartbeat_at = now + self.settings.heartbeat_interval_ms / 1000
--- a/plumline/routing/configuration_age.py
+++ b/plumline/routing/configuration_age.py
@@ -19,8 +19,7 @@
 MAX_UNAPPLIED_CONFIRMATIONS = 16  # that wait for entries; when exceeded, the oldest one is discarded
 
 
-@dataclass(frozen=True, slots=True)
-class AgeLimits:
+class AgeLimits(NamedTuple):
     """The greatest age, in s, at which the configuration is used for a decision.
 
     A request that was sent later than the bound after an acknowledgement is decided by a configuration that
