A router that has just started serves once its configuration is confirmed

Cause: a registrar that is starting itself can't confirm yet and dropped the request, so that the router asked again 0.4 s later; and a router counted as equipped as soon as it had a configuration.

Change: a registrar keeps requests until it can answer them, which is sound, as a later answer holds for an earlier request too. A router's first requests wait for the first confirmation as they wait for the configuration, for as long as they did before.

--- a/plumline/registrar/feed_confirmation.py
+++ b/plumline/registrar/feed_confirmation.py
@@ -5,6 +5,8 @@
 names an index; every change that was acknowledged before the request arrived is among the entries up to it.
 
 Requests that arrive while the core is being asked wait for the next round, which starts after their arrival.
+So do those of a round that ended in uncertainty, as when this registrar is starting: a later answer holds for
+an earlier request too.
 """
 
 from collections.abc import Callable
@@ -23,15 +25,17 @@
     def __init__(self, confirm_index: ConfirmIndex) -> None:
         self._confirm_index = confirm_index
         self._waiting: dict[FrameLink, ConfirmationRequest] = {}  # the newest of each router
-        self._is_confirming = False
+        self._round: dict[FrameLink, ConfirmationRequest] | None = None  # being answered
 
     def on_subscriber_connected(self, link: FrameLink) -> None:
         """Tells a router that this registrar answers confirmation requests."""
         link.send(FeedFeatures(confirmations=True).to_wire())
 
     def on_subscriber_disconnected(self, link: FrameLink) -> None:
-        """Discards the router's request."""
+        """Discards the router's requests."""
         self._waiting.pop(link, None)
+        if self._round is not None:
+            self._round.pop(link, None)
 
     def on_request(self, link: FrameLink, request: ConfirmationRequest) -> None:
         """Adds a router's request to the next round."""
@@ -39,16 +43,16 @@
 
     def tick(self) -> None:
         """Starts a round if requests are waiting; call it every few tens of milliseconds."""
-        if not self._waiting or self._is_confirming:
+        if not self._waiting or self._round is not None:
             return
-        requests, self._waiting = self._waiting, {}
-        self._is_confirming = True
-        self._confirm_index(lambda index: self._end_round(requests, index))
+        self._round, self._waiting = self._waiting, {}
+        self._confirm_index(self._end_round)
 
-    def _end_round(self, requests: dict[FrameLink, ConfirmationRequest], index: int | None) -> None:
-        """Answers the requests of a round; routers whose request can't be answered ask again."""
-        self._is_confirming = False
+    def _end_round(self, index: int | None) -> None:
+        """Answers the requests of the round, or returns them to those that wait."""
+        requests, self._round = self._round or {}, None
         if index is None:
+            self._waiting = requests | self._waiting
             return
         for link, request in requests.items():
             link.send(FeedConfirmed(request.sent_at_us, index).to_wire())
--- a/plumline/router/confirmation_requester.py
+++ b/plumline/router/confirmation_requester.py
@@ -62,7 +62,11 @@
             self._confirm(now, source.committed_index)
 
     def _confirm(self, requested_at: float, index: int) -> None:
-        self.fleet.configuration_age.on_confirmed(requested_at, index, self.fleet.applied_index)
+        age = self.fleet.configuration_age
+        was_confirmed = age.is_confirmed
+        age.on_confirmed(requested_at, index, self.fleet.applied_index)
+        if age.is_confirmed and not was_confirmed:
+            self.fleet.notify("confirmed")
 
     def _log_age(self, now: float) -> None:
         """Logs when the configuration becomes too old for some decisions, and when it no longer is."""
--- a/plumline/router/router_state.py
+++ b/plumline/router/router_state.py
@@ -109,7 +109,8 @@
         self.reported_versions: dict[str, dict[str, int]] = {}  # {model: version}, from its answers
         self.backoff_until: dict[str, float] = {}  # monotonic s
         self.replaced: set[str] = set()  # those whose address is now used by another incarnation
-        #: Set as soon as a configuration and endpoints are known for the first time in this process.
+        #: Set as soon as a configuration that is confirmed, and endpoints, are known for the first time in
+        #: this process.
         self.initialized = asyncio.Event()
         self.started_at = clock()
         self.next_late_report_at = 0.0  # monotonic s; no late first chunk is logged before
@@ -132,10 +133,15 @@
         elif topic == "grants":
             self.version_gate.grant(self.fleet.grants)
             self.update_usable_endpoints()
-        if self.fleet.table is not None and self.fleet.endpoints and not self.initialized.is_set():
+        if not self.initialized.is_set() and self.is_fleet_known():
             log.info(logs.event("equipped", endpoints=len(self.fleet.endpoints)))
             self.initialized.set()
 
+    def is_fleet_known(self) -> bool:
+        """Whether a configuration that was confirmed, and endpoints, are known."""
+        fleet = self.fleet
+        return fleet.table is not None and bool(fleet.endpoints) and fleet.configuration_age.is_confirmed
+
     def on_configuration(self) -> None:
         """Applies a new configuration."""
         table = self.fleet.table
--- a/plumline/routing/configuration_age.py
+++ b/plumline/routing/configuration_age.py
@@ -50,6 +50,11 @@
     confirmed_at: float = -math.inf  # every change acknowledged before this moment has been applied
     _unapplied: list[_UnappliedConfirmation] = field(default_factory=list)
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether there has been a confirmation at all."""
+        return self.confirmed_at > -math.inf
+
     def seconds(self, now: float) -> float:
         """The greatest possible age."""
         return now - self.confirmed_at
--- a/plumline/routing/fleet.py
+++ b/plumline/routing/fleet.py
@@ -82,7 +82,7 @@
         self.routers = 1  # alive in the fleet, this one included
         self.configuration_age = ConfigurationAge()
         self.fresh = False  # the feed's source is currently in contact with the core's majority
-        #: Called with "configuration", "endpoints", "stores", "grants" or "members".
+        #: Called with "configuration", "endpoints", "stores", "grants", "members" or, once, "confirmed".
         self.watchers: list[Callable[[str], None]] = []
 
     def acknowledged_version(self, model: str) -> int:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -1,6 +1,7 @@
 """The router's request path against scripted endpoints: admission, endpoint selection and retries."""
 
 import asyncio
+import math
 from dataclasses import replace
 
 import pytest
@@ -416,6 +417,26 @@
     run_with_timeout(work())
 
 
+def test_a_request_waits_for_the_first_confirmation_of_a_configuration_and_shares_then() -> None:
+    async def work() -> None:
+        peer = ScriptedEndpoint("e0", answer())
+        router = await start_router(None, peer)
+        fleet = router.fleet
+        fleet.configuration_age.confirmed_at = -math.inf
+        fleet.state, fleet.table = ReplicatedConfiguration(), RouteTable(document())
+        fleet.notify("configuration")
+        early = asyncio.ensure_future(router.ask(**as_keywords(MODEL)))
+        while not router.counters.get("request-waited-for-start"):
+            await asyncio.sleep(0)
+        assert not peer.heads
+        fleet.configuration_age.on_confirmed(router.dispatcher.clock(), 0, 0)
+        fleet.notify("confirmed")
+        assert (await early)[0] == 200
+        assert peer.heads[0]["cache-salt"] == "v1w0"
+
+    run_with_timeout(work())
+
+
 def test_a_router_that_has_no_configuration_for_long_refuses_at_once() -> None:
     async def work() -> None:
         router = await start_router(None, ScriptedEndpoint("e0", answer()))
--- a/tests/test_feed_confirmation.py
+++ b/tests/test_feed_confirmation.py
@@ -71,21 +71,34 @@
     assert late.sent[1:] == [["confirmed", 30, 8]] and len(first.sent) == 2
 
 
-def test_an_uncertain_inquiry_answers_nobody_and_holds_up_no_later_one() -> None:
+def test_the_requests_of_an_uncertain_inquiry_are_answered_by_the_next() -> None:
+    core, first, second = Core(), FakeLink(), FakeLink()
+    confirmer = FeedConfirmer(core.confirm_index)
+    links: list[Any] = [first, second]
+    for link in links:
+        confirmer.on_request(link, ConfirmationRequest(1))
+    confirmer.tick()
+    confirmer.on_request(links[1], ConfirmationRequest(2))
+    core.inquiries[0](None)
+    confirmer.tick()
+    core.inquiries[1](4)
+    assert first.sent == [["confirmed", 1, 4]] and second.sent == [["confirmed", 2, 4]]
+
+
+def test_a_router_that_has_left_is_not_answered() -> None:
     core, link = Core(), FakeLink()
     confirmer = FeedConfirmer(core.confirm_index)
     router: Any = link
     confirmer.on_request(router, ConfirmationRequest(1))
+    confirmer.on_subscriber_disconnected(router)
     confirmer.tick()
-    core.inquiries[0](None)
+    assert not core.inquiries
     confirmer.on_request(router, ConfirmationRequest(2))
     confirmer.tick()
-    core.inquiries[1](4)
-    assert link.sent == [["confirmed", 2, 4]]
-    confirmer.on_request(router, ConfirmationRequest(3))
     confirmer.on_subscriber_disconnected(router)
+    core.inquiries[0](None)
     confirmer.tick()
-    assert len(core.inquiries) == 2
+    assert len(core.inquiries) == 1 and not link.sent
 
 
 @pytest.mark.parametrize("message", [["confirm"], ["confirm", "1"], ["confirm", 1, 2]])
--- a/tests/test_frozen_forms.py
+++ b/tests/test_frozen_forms.py
@@ -22,7 +22,7 @@
 NAMES = recorded("names")
 ADDED = recorded("names_added")  # since then; what was recorded stays as it is
 MESSAGES_SINCE = recorded("messages_since") | recorded("messages_with_base")
-MESSAGES_SINCE |= recorded("messages_with_rollouts")
+MESSAGES_SINCE |= recorded("messages_with_rollouts") | recorded("messages_since_confirmations")
 MESSAGES_ADDED, RECORDS_ADDED = recorded("messages_added"), recorded("records_added")  # kinds, likewise
 MESSAGES_ADDED |= recorded("messages_with_confirmations")
 
@@ -105,8 +105,8 @@
 
     Which examples come first hangs on how fast a start is, and loads on what reading is taken to cost; a view
     may end with its base; a release names its features. What changed with these stands in `messages_since`,
-    `messages_with_base` and `messages_with_rollouts`, new kinds in `messages_added` and
-    `messages_with_confirmations`; kinds and types stay as they were recorded.
+    `messages_with_base`, `messages_with_rollouts` and `messages_since_confirmations`, new kinds in
+    `messages_added` and `messages_with_confirmations`; kinds and types stay as they were recorded.
     """
     found, expected, since = code.messages_sent(), recorded("messages"), MESSAGES_SINCE
     assert not expected.keys() & MESSAGES_ADDED.keys()
