Count sends that share nothing by their reason

send-unshared stood for two reasons, an outdated configuration and an unknown version of the weights, so that a figure of it told nothing of either.

--- a/plumline/router/attempt.py
+++ b/plumline/router/attempt.py
@@ -270,7 +270,8 @@
             if MECHANISMS.priorities:
                 headers.append((b"priority", b"%d" % request.priority))
             if self.salt is None:  # a random salt prevents any sharing
-                self.count("unshared")
+                is_recent = self.router.has_recent_configuration()
+                self.count("unshared-version" if is_recent else "unshared-outdated")
                 headers.append((b"cache-salt", b"x%032x" % self.router.rng.getrandbits(128)))
             else:
                 headers.append((b"cache-salt", self.salt.text.encode()))
